--- /dev/null
+++ b/lib/Daemon/Version.cpp
@@ -0,0 +1,5 @@
+namespace samphirehill {
+
+const char *version() { return SAMPHIREHILL_VERSION; }
+
+} // namespace samphirehill
