--- a/include/samphirehill/Membership/SharedState.h
+++ b/include/samphirehill/Membership/SharedState.h
@@ -157,9 +157,9 @@
 // The entry may become ready. Everything known was put in force before.
 struct Joined {};
 
-using SharedAction = std::variant<SendPull, SendPush, RequestVersions,
-                                  AnswerVersions, PutInForce, StoreZones,
-                                  Joined>;
+using SharedAction =
+    std::variant<SendPull, SendPush, RequestVersions, AnswerVersions,
+                 PutInForce, StoreZones, Joined>;
 
 struct HeldValue {
   SharedItem Item;
--- a/include/samphirehill/Net/PeerLink.h
+++ b/include/samphirehill/Net/PeerLink.h
@@ -20,13 +20,13 @@
 
 namespace asio {
 class io_context;
-}
+} // namespace asio
 
 namespace samphirehill {
 
 namespace peer {
 class Envelope;
-}
+} // namespace peer
 
 struct PeerLinkSettings {
   EntryId Self;
