--- a/include/samphirehill/Limits/Admission.h
+++ b/include/samphirehill/Limits/Admission.h
@@ -3,8 +3,11 @@
 // organisations that wait share the dispatched tokens equally, whatever their
 // number of requests.
 //
-// A higher class goes first, but a class that waits is never starved: normal
-// gets at least 20% and low at least 5% of dispatches.
+// A higher class goes first, but a class that waits is never starved: at least
+// 5% of dispatches go to low, and at least 20% to normal and low together.
+//
+// Use one queue per service, so that a service without free credits doesn't
+// hold up the others.
 #ifndef SAMPHIREHILL_LIMITS_ADMISSION_H
 #define SAMPHIREHILL_LIMITS_ADMISSION_H
 
--- a/include/samphirehill/Limits/CrashSuspects.h
+++ b/include/samphirehill/Limits/CrashSuspects.h
@@ -54,8 +54,8 @@
 struct CrashSettings {
   Duration DomainWindow = seconds(1);
   Duration Memory = std::chrono::minutes(10);
-  // 4,096 fingerprints in the 1,024 crashes of 10 min are far above the
-  // ordinary day; the oldest crash is dropped when either is exceeded.
+  // An ordinary day has 470 restarts and a zone about 55 upstreams.
+  // The oldest crash is dropped when a bound is exceeded.
   std::size_t MaxCrashes = 1024;
   std::size_t MaxFingerprints = 65536;
   CrashFaults Faults;
--- a/include/samphirehill/Limits/CreditHome.h
+++ b/include/samphirehill/Limits/CreditHome.h
@@ -19,11 +19,14 @@
 struct CreditAccount {
   Incarnation Number = 0;      // 0: not heard yet
   bool InZone = true;          // has a reserve
+  bool Listed = true;          // may borrow
+  bool Leaving = false;        // its last report said so
   bool Joined = false;         // reported in the ledger's generation
   CreditGeneration Generation; // of Carried, Granted and Returned
   CreditCount Bound;           // upper bound while not joined
   CreditCount Carried;
   CreditCount Granted;
+  CreditCount Received;
   CreditCount Returned;
   CreditCount Wanted;
   std::uint64_t ReportSequence = 0;
@@ -41,19 +44,28 @@
 // An incarnation that is confirmed gone and whose calls may still run.
 struct GoneBorrower {
   EntryId Entry;          // empty: entries that the home may never have seen
-  Incarnation Number = 0; // 0: any
+  Incarnation Number = 0; // 0: any but Except
+  Incarnation Except = 0;
   CreditCount Counted;
   TimePoint ConfirmedAt{};
 };
 
 struct CreditLedger {
   CreditGeneration Generation;
+  CreditGeneration ColdSince; // started by the last cold recall
   BootId Boot;
   int ColdLimit = 1;
   int WarmLimit = 1;
   int Limit = 1;
-  TimePoint LastStep{};
-  bool Released = false;
+  int PastLimit = 0;       // highest limit of earlier homes
+  TimePoint LastStep{};    // last change of the limit
+  TimePoint LastHalving{}; // by overload
+  bool Stopped = false;    // lends no more
+  bool ReserveOn = false;
+  // Sequence of the last grant to any borrower. An entry that restarted may
+  // have received a grant meant for its earlier incarnation, so that sequences
+  // must go on rising over accounts.
+  std::uint64_t LastGrant = 0;
   std::map<EntryId, CreditAccount> Accounts;
   std::vector<GoneBorrower> Gone;
   EntryId LastServed; // round robin among borrowers that wait
@@ -75,7 +87,9 @@
   std::vector<EntryId> Remote; // entries of other zones that route here
 };
 
-// An incarnation that ended within the last MaxDeadline.
+// An entry that left the instance list within the last MaxDeadline, or an old
+// home that restarted under its id. Earlier incarnations of entries that are
+// still listed need no mention; the home counts them by the uptime in reports.
 struct PastBorrower {
   EntryId Entry;
   Incarnation Number = 0; // 0: any
@@ -96,8 +110,9 @@
   bool FirstHome = false;
   // The highest limit that an earlier home may have used.
   int HighestLimit = 1;
+  // From a list read after the old home was confirmed gone or released.
   BorrowerList Borrowers;
-  // Must name the old home unless it released the role and still lives.
+  // Must name the old home, with its incarnation, unless it released the role.
   std::vector<PastBorrower> Past;
   // This process has watched the instance list for MaxDeadline, so that Past is
   // complete. If false, unknown borrowers count as the highest limit until an
@@ -122,10 +137,14 @@
 HomeActions setBorrowers(CreditHome &Home, const UpstreamId &Upstream,
                          const BorrowerList &Borrowers, TimePoint Now);
 
-// Records that Entry is no longer in the instance list, in all ledgers. A newer
-// incarnation needs no call; its first report shows it.
+// Records that Entry is no longer in the instance list, in all ledgers.
 HomeActions confirmGone(CreditHome &Home, const EntryId &Entry, TimePoint Now);
 
+// Records that Entry runs as Number, for example from a heartbeat, in all
+// ledgers. Reports of a newer incarnation have the same effect.
+HomeActions seeIncarnation(CreditHome &Home, const EntryId &Entry,
+                           Incarnation Number, TimePoint Now);
+
 // Handles an engine's list of request ids, running and queued ones. TakenAt is
 // the instant just before the list was requested.
 HomeActions receiveEngineReport(CreditHome &Home, const UpstreamId &Upstream,
--- a/include/samphirehill/Limits/CreditTypes.h
+++ b/include/samphirehill/Limits/CreditTypes.h
@@ -64,6 +64,7 @@
 struct CreditReport {
   EntryId From;
   Incarnation FromIncarnation = 0;
+  Duration Uptime{}; // of the sender's process
   EntryId To;
   UpstreamId Upstream;
   CreditGeneration Generation;      // {0, 0}: none joined yet
@@ -71,8 +72,10 @@
   std::uint64_t AckedGrant = 0;     // highest grant sequence of Generation seen
   bool NeedsAck = false;            // the home must answer with a grant
   CreditCount Carried;              // in use when Generation was joined
+  CreditCount Received;             // total of the grants seen
   CreditCount Returned;             // total given back, carried ones included
   CreditCount Wanted;               // calls that wait for a credit
+  bool Leaving = false;             // wants no reserve and no more credits
   std::optional<ColdEvidence> Cold; // seen while in Generation
 
   bool operator==(const CreditReport &) const = default;
@@ -85,6 +88,7 @@
   Incarnation ToIncarnation = 0; // 0: any, used before the first report
   UpstreamId Upstream;
   CreditGeneration Generation;
+  CreditGeneration ColdSince; // started by the last cold recall
   BootId Boot;
   std::uint64_t Sequence = 0;    // rises with each change of the grant
   std::uint64_t AckedReport = 0; // highest report sequence seen
--- a/include/samphirehill/Limits/CreditWallet.h
+++ b/include/samphirehill/Limits/CreditWallet.h
@@ -46,17 +46,19 @@
   std::uint64_t GrantSequence = 0;
   std::uint64_t Sequence = 0;
   std::uint64_t AckedSequence = 0;
-  TimePoint UnackedSince = DueTimes::Never;
   TimePoint ResendAt = DueTimes::Never;
   Duration ResendDelay{};
-  TimePoint IdleSince = DueTimes::Never;
+  TimePoint IdleWindow = DueTimes::Never; // start of the window of IdleLow
+  CreditCount IdleLow;                    // fewest idle credits in the window
   TimePoint Due = DueTimes::Never;
 };
 
 struct CreditWallet {
   EntryId Self;
   Incarnation SelfIncarnation = 0;
+  TimePoint StartedAt{}; // of this process
   CreditSettings Settings;
+  bool Leaving = false;
   std::unordered_map<UpstreamId, CreditHolding> Holdings;
   DueTimes Times;
 };
