Add stand-in platform, engine and service

Cause: tests and the demo need outside systems that speak the published interfaces and can be made to fail on demand. Change: three programs on RESTinio that share tools/standin-common; their handlers are in the library Standins, so tests can run them in process.

--- /dev/null
+++ b/tools/standin-common/HttpServer.h
@@ -0,0 +1,84 @@
+// A small asynchronous HTTP server on RESTinio for the stand-in programs. All
+// callbacks run on the io_context that the server was given; nothing here is
+// thread-safe.
+#ifndef SAMPHIREHILL_STANDIN_COMMON_HTTPSERVER_H
+#define SAMPHIREHILL_STANDIN_COMMON_HTTPSERVER_H
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace samphirehill::standin {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+// A request whose body has been read in full.
+struct Request {
+  std::string Method;
+  std::string Path; // without the query, percent-decoded
+  std::map<std::string, std::string> Query;
+  HeaderList Headers;
+  std::string Body;
+
+  // Returns the value of the header Name, compared without case, or "".
+  std::string header(const std::string &Name) const;
+  // Returns the number in the query parameter Name, or Default.
+  std::int64_t number(const std::string &Name, std::int64_t Default) const;
+  // Returns the non-empty parts of the path.
+  std::vector<std::string> parts() const;
+};
+
+// Answers one request, either with send() or with startStream(), any number of
+// write() and one finish(); or closes the connection with drop() at any point.
+// Calls after the end have no effect.
+class Responder {
+public:
+  virtual ~Responder() = default;
+
+  // Sends a whole answer.
+  virtual void send(int Status, std::string Body, HeaderList Headers = {}) = 0;
+  // Sends the head of a 200 answer whose body follows in chunks.
+  virtual void startStream(const std::string &ContentType) = 0;
+  // Sends one chunk of a started stream.
+  virtual void write(std::string Chunk) = 0;
+  // Ends a started stream properly.
+  virtual void finish() = 0;
+  // Closes the connection without (the rest of) the answer.
+  virtual void drop() = 0;
+  // Calls Callback once when a write fails because the caller has gone.
+  virtual void onBroken(std::function<void()> Callback) = 0;
+};
+
+using ResponderPtr = std::shared_ptr<Responder>;
+using Handler = std::function<void(const Request &, const ResponderPtr &)>;
+
+// Listens from construction until stop(). Port 0 lets the system choose.
+class HttpServer {
+public:
+  // Throws std::runtime_error when Address ("ip:port") can't be bound. Runs
+  // ready handlers of Io until the socket is bound.
+  HttpServer(asio::io_context &Io, const std::string &Address, Handler Serve);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  // The bound address as "ip:port".
+  const std::string &address() const { return Bound; }
+  // Closes the listening socket; connections end with the io_context.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Body;
+  std::string Bound;
+};
+
+} // namespace samphirehill::standin
+
+#endif // SAMPHIREHILL_STANDIN_COMMON_HTTPSERVER_H
