Add platform adapter and put the stand-ins on the HTTP server

Cause: the daemon needs the platform behind an interface, and the stand-ins carried a second HTTP server of their own. Change: Platform.h with asynchronous calls over HttpClient; the stand-ins use Net's server; an engine asks the weight store and its group's members.

--- /dev/null
+++ b/lib/Net/Platform.cpp
@@ -0,0 +1,241 @@
+#include "samphirehill/Net/Platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace samphirehill {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<std::pair<std::string_view, InstanceRole>, 3> Roles = {{
+    {"entry", InstanceRole::Entry},
+    {"engine", InstanceRole::Engine},
+    {"service", InstanceRole::Service},
+}};
+
+Object readValue(const Json &From, const Object *) {
+  Object Value;
+  Value.Key = {From.at("kind").get<std::string>(),
+               From.at("name").get<std::string>()};
+  Value.Version = From.at("version").get<std::uint64_t>();
+  Value.Deleted = From.value("deleted", false);
+  if (Value.Deleted)
+    return Value;
+  Value.Value = From.at("value").dump();
+  Value.WriteId = From.value("writeId", "");
+  return Value;
+}
+
+Instance readValue(const Json &From, const Instance *) {
+  Instance Value;
+  Value.Id = InstanceId(From.at("id").get<std::string>());
+  Value.Deleted = From.value("deleted", false);
+  if (Value.Deleted)
+    return Value;
+  Value.Zone = ZoneId(From.at("zone").get<std::string>());
+  Value.FabricDomain = DomainId(From.value("fabricDomain", ""));
+  Value.Address = From.at("address").get<std::string>();
+  Value.Accelerators = From.value("accelerators", 0);
+  std::string State = From.at("state").get<std::string>();
+  if (State != "live" && State != "leaving")
+    throw std::invalid_argument("unknown instance state \"" + State + "\"");
+  Value.State = State == "live" ? InstanceState::Live : InstanceState::Leaving;
+  std::string Role = From.at("role").get<std::string>();
+  for (const auto &[Name, Known] : Roles) {
+    if (Name != Role)
+      continue;
+    Value.Role = Known;
+    return Value;
+  }
+  throw std::invalid_argument("unknown instance role \"" + Role + "\"");
+}
+
+template <typename T>
+ItemList<T> readValue(const Json &From, const ItemList<T> *) {
+  ItemList<T> List;
+  List.Revision = From.at("revision").get<std::uint64_t>();
+  List.Complete = From.at("complete").get<bool>();
+  for (const Json &Item : From.at("items"))
+    List.Items.push_back(readValue(Item, static_cast<T *>(nullptr)));
+  return List;
+}
+
+// The answer to a write: the version written or deleted.
+std::uint64_t readValue(const Json &From, const std::uint64_t *) {
+  return From.at("version").get<std::uint64_t>();
+}
+
+template <typename T> Outcome<T> readBody(const HttpResponse &From) {
+  try {
+    return readValue(Json::parse(From.Body), static_cast<T *>(nullptr));
+  } catch (const std::exception &Failure) {
+    return Error{ResultCode::BadAnswer,
+                 "the platform's answer breaks the interface: " +
+                     std::string(Failure.what())};
+  }
+}
+
+Error statusError(const std::string &Call, const HttpResponse &From,
+                  ResultCode Unexpected) {
+  std::string Message = Call + " was answered " + std::to_string(From.Status) +
+                        ": " + From.Body.substr(0, 200);
+  switch (From.Status) {
+  case 404:
+    return {ResultCode::NotFound, Message};
+  case 409:
+    return {ResultCode::Conflict, Message};
+  case 429:
+    return {ResultCode::PlatformRateLimited, Message};
+  case 503:
+    return {ResultCode::PlatformUnavailable, Message};
+  default:
+    return {Unexpected, Message};
+  }
+}
+
+template <typename T>
+Outcome<T> readOutcome(const std::string &Call,
+                       const Outcome<HttpResponse> &From) {
+  if (const Error *Failure = errorOf(From))
+    return Error{ResultCode::PlatformUnavailable,
+                 Call + " got no answer: " + Failure->Message};
+  const HttpResponse &Answer = std::get<HttpResponse>(From);
+  if (Answer.Status == 200)
+    return readBody<T>(Answer);
+  return statusError(Call, Answer, ResultCode::BadAnswer);
+}
+
+// Only an answer that the interface defines tells whether the write took
+// effect; a connection that was never made tells that it did not.
+Outcome<std::uint64_t> writeOutcome(const std::string &Call,
+                                    const Outcome<HttpResponse> &From) {
+  if (const Error *Failure = errorOf(From)) {
+    bool Sent = Failure->Code != ResultCode::ConnectFailed;
+    return Error{Sent ? ResultCode::UnknownWriteOutcome
+                      : ResultCode::PlatformUnavailable,
+                 Call + " got no answer: " + Failure->Message};
+  }
+  const HttpResponse &Answer = std::get<HttpResponse>(From);
+  if (Answer.Status != 200)
+    return statusError(Call, Answer, ResultCode::UnknownWriteOutcome);
+  Outcome<std::uint64_t> Version = readBody<std::uint64_t>(Answer);
+  if (const Error *Failure = errorOf(Version))
+    return Error{ResultCode::UnknownWriteOutcome, Failure->Message};
+  return Version;
+}
+
+class HttpPlatform final : public Platform {
+public:
+  HttpPlatform(HttpClient &Client, PlatformOptions Options)
+      : Client(Client), Options(std::move(Options)) {}
+
+  CallId readObject(const ObjectKey &Key, Callback<Object> OnDone) override {
+    return read<Object>(pathOf(Key), Duration(0), std::move(OnDone));
+  }
+
+  CallId writeObject(const ObjectKey &Key, std::uint64_t Expected,
+                     const std::string &Value, const std::string &WriteId,
+                     Callback<std::uint64_t> OnDone) override {
+    // Value is JSON text already; parsing it again would cost a copy.
+    std::string Body =
+        R"({"writeId":)" + Json(WriteId).dump() + R"(,"value":)" + Value + "}";
+    return write("PUT", Key, Expected, std::move(Body), std::move(OnDone));
+  }
+
+  CallId deleteObject(const ObjectKey &Key, std::uint64_t Expected,
+                      Callback<std::uint64_t> OnDone) override {
+    return write("DELETE", Key, Expected, "", std::move(OnDone));
+  }
+
+  CallId listObjects(const std::string &Kind,
+                     Callback<ObjectList> OnDone) override {
+    return read<ObjectList>("/objects/" + Kind, Duration(0), std::move(OnDone));
+  }
+
+  CallId watchObjects(const std::string &Kind, std::uint64_t After,
+                      Duration Wait, Callback<ObjectList> OnDone) override {
+    return read<ObjectList>("/objects/" + Kind + watchQuery(After, Wait), Wait,
+                            std::move(OnDone));
+  }
+
+  CallId listInstances(Callback<InstanceList> OnDone) override {
+    return read<InstanceList>("/instances", Duration(0), std::move(OnDone));
+  }
+
+  CallId watchInstances(std::uint64_t After, Duration Wait,
+                        Callback<InstanceList> OnDone) override {
+    return read<InstanceList>("/instances" + watchQuery(After, Wait), Wait,
+                              std::move(OnDone));
+  }
+
+  void cancel(CallId Call) override { Client.cancel(Call); }
+
+private:
+  static std::string pathOf(const ObjectKey &Key) {
+    return "/objects/" + Key.Kind + "/" + Key.Name;
+  }
+
+  static std::string watchQuery(std::uint64_t After, Duration Wait) {
+    return "?after=" + std::to_string(After) +
+           "&timeoutMs=" + std::to_string(toMilliseconds(Wait));
+  }
+
+  HttpRequest request(const std::string &Method, const std::string &Path) {
+    HttpRequest Request;
+    Request.Method = Method;
+    Request.Url = "http://" + Options.Address + Path;
+    Request.Timeout = Options.Timeout;
+    return Request;
+  }
+
+  template <typename T>
+  CallId read(const std::string &Path, Duration Wait, Callback<T> OnDone) {
+    HttpRequest Request = request("GET", Path);
+    Request.Timeout += Wait;
+    return Client.send(std::move(Request),
+                       [Call = "GET " + Path, OnDone = std::move(OnDone)](
+                           const Outcome<HttpResponse> &Answer) {
+                         OnDone(readOutcome<T>(Call, Answer));
+                       });
+  }
+
+  CallId write(const std::string &Method, const ObjectKey &Key,
+               std::uint64_t Expected, std::string Body,
+               Callback<std::uint64_t> OnDone) {
+    std::string Path = pathOf(Key);
+    HttpRequest Request = request(Method, Path);
+    Request.Headers = {{"If-Match", std::to_string(Expected)},
+                       {"Content-Type", "application/json"}};
+    Request.Body = std::move(Body);
+    // A repeat of a write that took effect would be answered with a conflict,
+    // which would be taken for another writer's success.
+    Request.FreshConnection = true;
+    return Client.send(std::move(Request),
+                       [Call = Method + " " + Path, OnDone = std::move(OnDone)](
+                           const Outcome<HttpResponse> &Answer) {
+                         OnDone(writeOutcome(Call, Answer));
+                       });
+  }
+
+  HttpClient &Client;
+  PlatformOptions Options;
+};
+
+} // namespace
+
+std::string_view toString(InstanceRole Role) {
+  for (const auto &[Name, Known] : Roles)
+    if (Known == Role)
+      return Name;
+  return "";
+}
+
+std::unique_ptr<Platform> makeHttpPlatform(HttpClient &Client,
+                                           PlatformOptions Options) {
+  return std::make_unique<HttpPlatform>(Client, std::move(Options));
+}
+
+} // namespace samphirehill
--- a/tools/standin-common/HttpServer.h
+++ b/tools/standin-common/HttpServer.h
@@ -1,9 +1,11 @@
-// A small asynchronous HTTP server on RESTinio for the stand-in programs. All
-// callbacks run on the io_context that the server was given; nothing here is
-// thread-safe.
+// Requests and answers of the stand-in programs, over the system's HTTP server.
+// All callbacks run on the io_context that the server was given; nothing here
+// is thread-safe.
 #ifndef SAMPHIREHILL_STANDIN_COMMON_HTTPSERVER_H
 #define SAMPHIREHILL_STANDIN_COMMON_HTTPSERVER_H
 
+#include "samphirehill/Net/HttpServer.h"
+
 #include <asio/io_context.hpp>
 
 #include <cstdint>
@@ -11,19 +13,16 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace samphirehill::standin {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 // A request whose body has been read in full.
 struct Request {
   std::string Method;
   std::string Path; // without the query, percent-decoded
   std::map<std::string, std::string> Query;
-  HeaderList Headers;
+  HttpHeaders Headers;
   std::string Body;
 
   // Returns the value of the header Name, compared without case, or "".
@@ -42,7 +41,7 @@
   virtual ~Responder() = default;
 
   // Sends a whole answer.
-  virtual void send(int Status, std::string Body, HeaderList Headers = {}) = 0;
+  virtual void send(int Status, std::string Body, HttpHeaders Headers = {}) = 0;
   // Sends the head of a 200 answer whose body follows in chunks.
   virtual void startStream(const std::string &ContentType) = 0;
   // Sends one chunk of a started stream.
@@ -58,26 +57,10 @@
 using ResponderPtr = std::shared_ptr<Responder>;
 using Handler = std::function<void(const Request &, const ResponderPtr &)>;
 
-// Listens from construction until stop(). Port 0 lets the system choose.
-class HttpServer {
-public:
-  // Throws std::runtime_error when Address ("ip:port") can't be bound. Runs
-  // ready handlers of Io until the socket is bound.
-  HttpServer(asio::io_context &Io, const std::string &Address, Handler Serve);
-  ~HttpServer();
-  HttpServer(const HttpServer &) = delete;
-  HttpServer &operator=(const HttpServer &) = delete;
-
-  // The bound address as "ip:port".
-  const std::string &address() const { return Bound; }
-  // Closes the listening socket; connections end with the io_context.
-  void stop();
-
-private:
-  struct Impl;
-  std::unique_ptr<Impl> Body;
-  std::string Bound;
-};
+// Serves at Address ("ip:port"; port 0 lets the system choose) until the result
+// is destroyed or closed. Throws std::runtime_error when it can't be bound.
+std::unique_ptr<HttpServer> listen(asio::io_context &Io,
+                                   const std::string &Address, Handler Serve);
 
 } // namespace samphirehill::standin
 
--- a/tools/standin-common/Program.cpp
+++ b/tools/standin-common/Program.cpp
@@ -15,8 +15,9 @@
   try {
     asio::signal_set Signals(Io, SIGTERM, SIGINT);
     Signals.async_wait([&Io](const auto &, int) { Io.stop(); });
-    HttpServer Server(Io, Address, std::move(Serve));
-    std::cout << "ready " << Server.address() << std::endl;
+    auto Server = listen(Io, Address, std::move(Serve));
+    std::cout << "ready " << Address.substr(0, Address.rfind(':')) << ":"
+              << Server->port() << std::endl;
     Io.run();
     return 0;
   } catch (const std::exception &Failure) {
@@ -35,7 +36,7 @@
 }
 
 void sendJson(const ResponderPtr &To, int Status, const Json &Body,
-              HeaderList Headers) {
+              HttpHeaders Headers) {
   To->send(Status, Body.dump(), std::move(Headers));
 }
 
@@ -46,6 +47,20 @@
   return Value.is_object() ? Value : Json(Json::value_t::discarded);
 }
 
+void fetchJson(HttpClient &Http, const std::string &Url,
+               std::function<void(int, Json)> OnDone) {
+  HttpRequest Request;
+  Request.Url = Url;
+  Request.Timeout = seconds(1);
+  Http.send(Request,
+            [OnDone = std::move(OnDone)](const Outcome<HttpResponse> &Answer) {
+              if (errorOf(Answer))
+                return OnDone(0, Json::object());
+              const HttpResponse &Whole = std::get<HttpResponse>(Answer);
+              OnDone(Whole.Status, Json::parse(Whole.Body, nullptr, false));
+            });
+}
+
 TimePoint now() {
   return std::chrono::time_point_cast<Duration>(
       std::chrono::steady_clock::now());
--- a/tools/standin-common/Program.h
+++ b/tools/standin-common/Program.h
@@ -4,6 +4,7 @@
 #define SAMPHIREHILL_STANDIN_COMMON_PROGRAM_H
 
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Net/HttpClient.h"
 #include "standin-common/HttpServer.h"
 
 #include <nlohmann/json.hpp>
@@ -25,12 +26,17 @@
 
 // Sends Body as the whole answer.
 void sendJson(const ResponderPtr &To, int Status, const Json &Body,
-              HeaderList Headers = {});
+              HttpHeaders Headers = {});
 
 // Returns the JSON object in the body; an empty body is an empty object.
 // Returns a discarded value when the body is anything else.
 Json parseObject(const Request &From);
 
+// Fetches Url through Http; calls back with the status and the JSON body, or
+// with status 0 when there is no whole answer.
+void fetchJson(HttpClient &Http, const std::string &Url,
+               std::function<void(int, Json)> OnDone);
+
 // Sets Target from the field Name of From, if it is there with the right type.
 template <typename T> void take(const Json &From, const char *Name, T &Target) {
   auto Found = From.find(Name);
--- a/tools/standin-engine/Main.cpp
+++ b/tools/standin-engine/Main.cpp
@@ -107,7 +107,12 @@
       return 0;
     }
     asio::io_context Io;
-    Engine Served(Io, readOptions(Parsed));
+    HttpClient Http(Io);
+    EngineOptions Options = readOptions(Parsed);
+    Options.Fetch = [&Http](const std::string &Url, auto OnDone) {
+      fetchJson(Http, Url, std::move(OnDone));
+    };
+    Engine Served(Io, std::move(Options));
     return serve(Io, Parsed["listen"].as<std::string>(),
                  [&](const Request &From, const ResponderPtr &To) {
                    Served.handle(From, To);
--- a/tools/standin-service/Service.cpp
+++ b/tools/standin-service/Service.cpp
@@ -28,9 +28,9 @@
   return Values;
 }
 
-HeaderList echo(const Request &From) {
+HttpHeaders echo(const Request &From) {
   std::string Id = From.header("X-Request-Id");
-  return Id.empty() ? HeaderList{} : HeaderList{{"X-Request-Id", Id}};
+  return Id.empty() ? HttpHeaders{} : HttpHeaders{{"X-Request-Id", Id}};
 }
 
 } // namespace
