Add record shards, shard owners and entry-issued keys

Cause: requests that must not be repeated need a decision layer that sends a call only after its record is stored, whatever the platform does.

Change: RecordShard decides at one entry and one shard; ShardObject is its stored form; ShardOwner chooses owners by rendezvous with a minimum hold; EntryKeys issues and checks keys with an HMAC from libcrypto.

--- /dev/null
+++ b/test/Idempotency/ShardWorld.cpp
@@ -0,0 +1,316 @@
+#include "Idempotency/ShardWorld.h"
+
+#include <algorithm>
+
+namespace samphirehill {
+namespace {
+
+constexpr std::size_t EntryCount = 3;
+constexpr std::size_t KeyCount = 3;
+constexpr std::size_t MaxRecordsInModel = 2; // so that full shards occur
+
+ShardObject parse(const std::string &Text) {
+  return std::get<0>(capture([&] { return shardObjectFromJson(Text); }));
+}
+
+} // namespace
+
+ShardWorld::ShardWorld(ShardFault Fault) : Fault(Fault) {
+  for (std::size_t I = 0; I < EntryCount; ++I)
+    Entries.push_back(Process{makeShard(I), false, {}});
+}
+
+RecordShard ShardWorld::makeShard(std::size_t Entry) {
+  ShardSettings Settings;
+  Settings.Self = EntryId("e" + std::to_string(Entry));
+  Settings.SelfIncarnation = NextIncarnation++;
+  Settings.MaxRecords = MaxRecordsInModel;
+  return RecordShard(Settings);
+}
+
+std::uint64_t ShardWorld::processId(std::size_t Entry) const {
+  return Entries[Entry].Shard.Settings.SelfIncarnation;
+}
+
+void ShardWorld::feed(std::size_t Entry, ShardEvent Event) {
+  Process &Target = Entries[Entry];
+  if (Target.Paused) {
+    Target.Inbox.push_back(std::move(Event));
+    return;
+  }
+  if (auto *Read = std::get_if<ReadReport>(&Event);
+      Read && Fault == ShardFault::ForgetsStarted)
+    std::erase_if(Read->Value.Records,
+                  [](const auto &Value) { return !Value.second.Outcome; });
+  if (auto *Write = std::get_if<WriteReport>(&Event);
+      Write && Fault == ShardFault::LostTakenAsStored &&
+      Write->Answer == WriteReport::Lost)
+    Write->Answer = WriteReport::Stored;
+  WallTime Wall(Now.time_since_epoch());
+  std::vector<ShardAction> Actions = step(Target.Shard, Event, Now, Wall);
+  for (const ShardAction &Action : Actions) {
+    perform(Entry, Action);
+    const auto *Write = std::get_if<WriteShard>(&Action);
+    if (Write && Fault == ShardFault::SendBeforeAcknowledged)
+      feed(Entry, WriteReport{Write->WriteId, WriteReport::Stored,
+                              Write->Version + 1});
+  }
+}
+
+void ShardWorld::perform(std::size_t Entry, const ShardAction &Action) {
+  Message Item{Message::Write, Entry, processId(Entry)};
+  if (const auto *Write = std::get_if<WriteShard>(&Action)) {
+    Item.Put = *Write;
+    Pending.push_back(Item);
+  } else if (const auto *Read = std::get_if<ReadShard>(&Action)) {
+    Item.Kind = Message::Read;
+    Item.ReadId = Read->ReadId;
+    Pending.push_back(Item);
+  } else if (const auto *Sent = std::get_if<SendCall>(&Action)) {
+    Item.Kind = Message::Call;
+    Item.Sent = *Sent;
+    Requests[Sent->Request.str()].SentBy = processId(Entry);
+    if (Requests[Sent->Request.str()].Denied)
+      broken("a request was sent after it was answered `not run`");
+    Pending.push_back(Item);
+  } else if (const auto *Outcome = std::get_if<AnswerOutcome>(&Action)) {
+    AnswerOutcome Given = *Outcome;
+    if (Fault == ShardFault::ChangesOutcome && Given.Replayed)
+      Given.Outcome.Body = "other";
+    checkOutcome(Given);
+  } else if (const auto *Refusal = std::get_if<AnswerRefusal>(&Action)) {
+    AnswerRefusal Given = *Refusal;
+    if (Fault == ShardFault::DeniesStarted &&
+        Given.Code == ResultCode::OutcomeUnknown)
+      Given.Code = ResultCode::UpstreamRefused;
+    checkRefusal(Entry, Given);
+  } else if (const auto *Forward = std::get_if<ForwardCall>(&Action)) {
+    // The next entry receives it as the first one did.
+    Message Next{Message::Event, (Entry + 1) % EntryCount, 0};
+    const Request &Value = Requests[Forward->Request.str()];
+    Next.Report = CallArrived{Forward->Request, Value.Record, Value.BodyHash,
+                              Now + seconds(30), Value.MayBeResend};
+    Pending.push_back(Next);
+  }
+}
+
+void ShardWorld::checkOutcome(const AnswerOutcome &Answer) {
+  Request &Asked = Requests[Answer.Request.str()];
+  Replays += Answer.Replayed ? 1 : 0;
+  Asked.Done = true;
+  bool Ran = std::any_of(Executed.begin(), Executed.end(),
+                         [&](const Execution &Value) {
+                           return Value.Record == Asked.Record &&
+                                  Value.BodyHash == Asked.BodyHash &&
+                                  Value.Outcome == Answer.Outcome;
+                         });
+  if (!Ran)
+    broken("an outcome was given that no execution of the key had");
+  if (Asked.RecordedBefore && *Asked.RecordedBefore != Answer.Outcome)
+    broken("a resend got another outcome than the recorded one");
+}
+
+void ShardWorld::checkRefusal(std::size_t Entry, const AnswerRefusal &Answer) {
+  Request &Asked = Requests[Answer.Request.str()];
+  if (Asked.Done && !Asked.MayBeResend)
+    broken("a request was answered twice");
+  Asked.Done = true;
+  if (Answer.Code == ResultCode::OutcomeUnknown && Asked.RecordedBefore &&
+      !Asked.MayBeResend && Answer.RetryAfter == Duration(0))
+    broken("a resend after a recorded outcome got `may have run`");
+  if (runState(Answer.Code) != RunState::NotRun)
+    return;
+  Asked.Denied = true;
+  bool ByThisProcess = std::any_of(
+      Executed.begin(), Executed.end(), [&](const Execution &Value) {
+        return Value.Record == Asked.Record &&
+               Value.BodyHash == Asked.BodyHash && Value.By == processId(Entry);
+      });
+  bool InProgress =
+      std::any_of(Pending.begin(), Pending.end(), [&](const Message &Item) {
+        if (Item.Kind != Message::Call || Item.Sender != processId(Entry))
+          return false;
+        const Request &Sent = Requests[Item.Sent.Request.str()];
+        return Sent.Record == Asked.Record && Sent.BodyHash == Asked.BodyHash;
+      });
+  if (ByThisProcess || InProgress)
+    broken("`not run` for a key that this process ran or may still run");
+  if (Answer.Code != ResultCode::RecordStoreUnavailable && Asked.RanBefore)
+    broken("`not run` for a key that ran before the request arrived");
+}
+
+void ShardWorld::arrive(std::size_t Entry, const RequestId &Id) {
+  Request &Asked = Requests[Id.str()];
+  auto Found = Stored.Records.find(Asked.Record);
+  if (Found != Stored.Records.end() && Found->second.BodyHash == Asked.BodyHash)
+    Asked.RecordedBefore = Found->second.Outcome;
+  Asked.RanBefore = std::any_of(
+      Executed.begin(), Executed.end(), [&](const Execution &Value) {
+        return Value.Record == Asked.Record && Value.BodyHash == Asked.BodyHash;
+      });
+  feed(Entry, CallArrived{Id, Asked.Record, Asked.BodyHash, Now + seconds(30),
+                          Asked.MayBeResend});
+}
+
+void ShardWorld::newRequest(std::uint32_t Choice) {
+  RequestId Id("r" + std::to_string(NextRequest++));
+  Request &Asked = Requests[Id.str()];
+  Asked.Record = "k" + std::to_string(Choice / 8 % KeyCount);
+  Asked.BodyHash = Choice / 64 % 16 == 0 ? 2 : 1;
+  std::size_t First = Choice % EntryCount;
+  // The system itself delivers some requests to two entries.
+  Asked.MayBeResend = Choice / 1024 % 8 == 0;
+  if (Asked.MayBeResend)
+    arrive((First + 1) % EntryCount, Id);
+  arrive(First, Id);
+}
+
+void ShardWorld::report(const Message &Item, ShardEvent Event) {
+  if (Item.Reported || Item.Sender != processId(Item.Entry))
+    return;
+  Message Next{Message::Event, Item.Entry, Item.Sender};
+  Next.Report = std::move(Event);
+  Pending.push_back(std::move(Next));
+}
+
+void ShardWorld::deliverWrite(Message &Item, std::uint32_t Fate) {
+  const std::string Id = Item.Put.WriteId;
+  if (Fate % 8 == 1 && !Item.Reported) {
+    // The answer is lost now; the write takes effect later.
+    report(Item, WriteReport{Id, WriteReport::Lost, 0});
+    Item.Reported = true;
+    Pending.push_back(Item);
+    return;
+  }
+  if (Outage)
+    return report(Item, WriteReport{Id, WriteReport::Lost, 0});
+  if (Fate % 8 == 2)
+    return report(Item, WriteReport{Id, WriteReport::Refused, 0});
+  if (Item.Put.Version != Version)
+    return report(Item, WriteReport{Id, WriteReport::Conflict, Version});
+  Stored = parse(Item.Put.Value);
+  LastWriteId = Id;
+  ++Version;
+  bool Lost = Fate % 8 == 3;
+  report(Item, WriteReport{Id, Lost ? WriteReport::Lost : WriteReport::Stored,
+                           Lost ? 0 : Version});
+}
+
+void ShardWorld::deliverRead(const Message &Item, std::uint32_t Fate) {
+  if (Outage || Fate % 8 == 1)
+    return report(Item, ReadReport{Item.ReadId, ReadReport::Failed});
+  report(Item, ReadReport{Item.ReadId, ReadReport::Found, Version, LastWriteId,
+                          Stored});
+}
+
+void ShardWorld::deliverCall(const Message &Item, std::uint32_t Fate) {
+  if (Fate % 8 == 1)
+    return report(Item, CallEnded{Item.Sent.Attempt,
+                                  CallNotRun{ResultCode::UpstreamRefused}});
+  const Request &Asked = Requests[Item.Sent.Request.str()];
+  if (Asked.Denied)
+    broken("a request ran after it was answered `not run`");
+  for (const Execution &Before : Executed)
+    if (Before.Record == Asked.Record)
+      broken("a key was executed twice");
+  CallOutcome Outcome{200, "text/plain", "by " + Item.Sent.Request.str()};
+  Executed.push_back(
+      Execution{Asked.Record, Asked.BodyHash, Item.Sender, Outcome});
+  if (Fate % 8 == 2)
+    return report(Item, CallEnded{Item.Sent.Attempt,
+                                  CallUnknown{ResultCode::UpstreamLost}});
+  report(Item, CallEnded{Item.Sent.Attempt, CallAnswered{Outcome}});
+}
+
+void ShardWorld::deliver(std::size_t Index, std::uint32_t Fate) {
+  Message Item = std::move(Pending[Index]);
+  Pending.erase(Pending.begin() + static_cast<long>(Index));
+  switch (Item.Kind) {
+  case Message::Write:
+    return deliverWrite(Item, Fate);
+  case Message::Read:
+    return deliverRead(Item, Fate);
+  case Message::Call:
+    return deliverCall(Item, Fate);
+  case Message::Event:
+    if (Item.Sender == 0 || Item.Sender == processId(Item.Entry))
+      feed(Item.Entry, Item.Report);
+  }
+}
+
+void ShardWorld::restart(std::size_t Entry) {
+  Entries[Entry] = Process{makeShard(Entry), false, {}};
+}
+
+void ShardWorld::advance(Duration By) {
+  Now += By;
+  for (std::size_t I = 0; I < EntryCount; ++I)
+    if (!Entries[I].Paused)
+      feed(I, ShardTick{});
+}
+
+void ShardWorld::act(std::uint32_t Choice) {
+  std::uint32_t Detail = Choice / 32;
+  std::size_t Entry = Detail % EntryCount;
+  switch (Choice % 32) {
+  case 0:
+  case 1:
+  case 2:
+  case 3:
+  case 4:
+    return newRequest(Detail);
+  case 5:
+    Entries[Entry].Paused = true;
+    return;
+  case 6:
+  case 7:
+    if (Entries[Entry].Paused) {
+      Entries[Entry].Paused = false;
+      for (ShardEvent &Event : std::exchange(Entries[Entry].Inbox, {}))
+        feed(Entry, std::move(Event));
+    }
+    return;
+  case 8:
+    return restart(Entry);
+  case 9:
+    Outage = Detail % 4 == 0;
+    return;
+  case 10:
+    return advance(Detail % 16 == 0 ? seconds(40) : milliseconds(600));
+  case 11:
+    if (Detail % 4 == 0)
+      feed(Entry, HandOver{});
+    return;
+  default:
+    if (!Pending.empty())
+      deliver(Detail % Pending.size(), Detail / 64);
+  }
+}
+
+void ShardWorld::heal() {
+  Outage = false;
+  for (std::size_t I = 0; I < EntryCount; ++I) {
+    Entries[I].Paused = false;
+    for (ShardEvent &Event : std::exchange(Entries[I].Inbox, {}))
+      feed(I, std::move(Event));
+  }
+  auto Drain = [&] {
+    for (int Steps = 0; !Pending.empty() && Steps < 2000; ++Steps)
+      deliver(0, 0);
+  };
+  for (int Rounds = 0; Rounds < 8; ++Rounds) {
+    Drain();
+    advance(seconds(8));
+  }
+  Drain();
+  for (std::size_t I = 0; I < EntryCount; ++I) {
+    RequestId Id("final" + std::to_string(I));
+    Requests[Id.str()] = Request{"k0", 1};
+    arrive(I, Id);
+    Drain();
+    if (!Requests[Id.str()].Done)
+      broken("a request got no answer after all faults had ended");
+  }
+}
+
+} // namespace samphirehill
