--- /dev/null
+++ b/lib/Daemon/MembershipController.cpp
@@ -0,0 +1,342 @@
+#include "samphirehill/Daemon/MembershipController.h"
+
+#include "StateMessages.h"
+#include "peer.pb.h"
+
+#include <utility>
+
+namespace samphirehill {
+namespace {
+
+constexpr Duration TickPeriod = milliseconds(50);
+constexpr const char *ZonesKind = "zones";
+constexpr const char *ObjectKinds[] = {ConfigKind, PlacementKind, ZonesKind};
+
+std::vector<EntryId> seedEntries(const Settings &Config) {
+  std::vector<EntryId> Seeds;
+  for (const SeedPeer &Seed : Config.Seeds)
+    Seeds.push_back(Seed.Entry);
+  return Seeds;
+}
+
+std::vector<Member> seedMembers(const Settings &Config) {
+  std::vector<Member> Seeds;
+  for (const SeedPeer &Seed : Config.Seeds)
+    Seeds.push_back(Member{Seed.Entry, {}, Seed.Address.str(), false});
+  return Seeds;
+}
+
+} // namespace
+
+MembershipController::MembershipController(Runtime &Shared, PeerHub &Hub,
+                                           Platform &Store)
+    : Shared(Shared), Hub(Hub), Store(Store),
+      Liveness(makeLiveness(Member{Shared.Config.Entry, Shared.Config.Zone,
+                                   Shared.Config.Peers.str(), false},
+                            Shared.Started, seedMembers(Shared.Config),
+                            Shared.Timers.now())),
+      State(makeSharedState(seedEntries(Shared.Config), Shared.Timers.now())) {}
+
+void MembershipController::start() {
+  Hub.Received.connect([this](const auto &Message) { receive(Message); });
+  handleState();
+  connectPeers();
+  InstanceLoop = std::make_unique<WatchLoop<Instance>>(
+      Shared, Store,
+      WatchLoop<Instance>::Calls{
+          [this](auto Done) { return Store.listInstances(Done); },
+          [this](auto After, auto Wait, auto Done) {
+            return Store.watchInstances(After, Wait, Done);
+          },
+          [this](const InstanceList &List) { takeInstances(List); },
+          [this](bool Value) { noteReachable(Value); }});
+  InstanceLoop->start();
+  for (const char *Kind : ObjectKinds)
+    ObjectLoops[Kind] = std::make_unique<WatchLoop<Object>>(
+        Shared, Store,
+        WatchLoop<Object>::Calls{
+            [this, Kind](auto Done) { return Store.listObjects(Kind, Done); },
+            [this, Kind](auto After, auto Wait, auto Done) {
+              return Store.watchObjects(Kind, After, Wait, Done);
+            },
+            [this, Kind](const ObjectList &List) { takeObjects(Kind, List); },
+            [](bool) {}});
+  watchObjectsIfDue();
+  Tick = Shared.Timers.every(TickPeriod, [this] { tick(); });
+}
+
+void MembershipController::tick() {
+  TimePoint Now = Shared.Timers.now();
+  Notes = notesToTell(State, Now);
+  carryOut(decide(Liveness, LivenessEvent(LivenessTick{}), Now));
+  carryOut(decide(State, SharedEvent(SharedTick{}), Now));
+  watchObjectsIfDue();
+}
+
+// Two entries of the zone watch the objects; an entry that has not joined reads
+// them as well.
+void MembershipController::watchObjectsIfDue() {
+  if (PlatformStopped)
+    return;
+  bool Due = watchesPlatform(Liveness) || !State.IsJoined;
+  for (auto &[Kind, Loop] : ObjectLoops) {
+    if (Due == Loop->running())
+      continue;
+    if (Due)
+      Loop->start();
+    else
+      Loop->stop();
+  }
+}
+
+void MembershipController::noteReachable(bool Value) {
+  if (PlatformReachable == Value)
+    return;
+  PlatformReachable = Value;
+  Shared.record(Value ? "platform-up" : "platform-down",
+                Shared.Config.Platform.str(), "");
+}
+
+void MembershipController::takeInstances(const InstanceList &List) {
+  if (List.Complete)
+    Instances.clear();
+  else if (List.Items.empty())
+    return;
+  for (const Instance &Each : List.Items) {
+    if (Each.Deleted)
+      Instances.erase(Each.Id);
+    else
+      Instances[Each.Id] = Each;
+  }
+  InstanceListRead Read;
+  Read.Revision = List.Revision;
+  for (const auto &[Id, Each] : Instances)
+    if (Each.Role == InstanceRole::Entry)
+      Read.Entries.push_back(Member{EntryId(Id.str()), Each.Zone, Each.Address,
+                                    Each.State == InstanceState::Leaving});
+  carryOut(
+      decide(Liveness, LivenessEvent(std::move(Read)), Shared.Timers.now()));
+  InstancesChanged.emit();
+}
+
+void MembershipController::takeObjects(const std::string &Kind,
+                                       const ObjectList &List) {
+  PlatformRead Read;
+  for (const Object &Each : List.Items) {
+    if (Kind != ZonesKind) {
+      if (!Each.Deleted)
+        Read.Items.push_back(
+            SharedItem{{Kind, Each.Key.Name}, {Each.Version, ""}, Each.Value});
+      continue;
+    }
+    if (Each.Deleted) {
+      ZonesObjectDeleted.emit();
+      continue;
+    }
+    Outcome<std::vector<SharedItem>> Items =
+        capture([&] { return parseZonesObject(Each.Value); });
+    if (errorOf(Items)) {
+      Shared.record("zones-object-broken", Each.Key.Name,
+                    errorOf(Items)->Message);
+      continue;
+    }
+    for (SharedItem &Item : std::get<0>(Items))
+      Read.Items.push_back(std::move(Item));
+    Read.ZonesObject = Each.Version;
+  }
+  if (List.Complete)
+    CompleteKinds.insert(Kind);
+  Read.Complete = CompleteKinds.size() == std::size(ObjectKinds);
+  carryOut(decide(State, SharedEvent(std::move(Read)), Shared.Timers.now()));
+}
+
+void MembershipController::receive(const peer::Envelope &Message) {
+  TimePoint Now = Shared.Timers.now();
+  EntryId From(Message.sender());
+  if (Message.has_heartbeat()) {
+    const peer::Heartbeat &Beat = Message.heartbeat();
+    PeerAcknowledged[From] = Beat.close_acknowledged();
+    Member Sender{From, ZoneId(Beat.zone()), Beat.address(), Beat.leaving()};
+    carryOut(decide(
+        Liveness, LivenessEvent(PeerHeard{Sender, Message.incarnation(), true}),
+        Now));
+    carryOut(decide(State,
+                    SharedEvent(VersionsHeard{From, Beat.digest(),
+                                              notesOf(Beat.versions())}),
+                    Now));
+    return;
+  }
+  if (Message.has_summary()) {
+    const peer::Summary &Summary = Message.summary();
+    Member Sender{From, ZoneId(Summary.zone()), Summary.address(), false};
+    carryOut(decide(
+        Liveness,
+        LivenessEvent(PeerHeard{Sender, Message.incarnation(), false}), Now));
+    carryOut(decide(State,
+                    SharedEvent(VersionsHeard{From, Summary.digest(),
+                                              notesOf(Summary.versions())}),
+                    Now));
+    return;
+  }
+  carryOut(decide(Liveness,
+                  LivenessEvent(MessageReceived{From, Message.incarnation()}),
+                  Now));
+}
+
+void MembershipController::handleState() {
+  Hub.handle(peer::Envelope::kStatePull, [this](const auto &Message) {
+    const peer::StatePull &Pull = Message.state_pull();
+    EntryId From(Message.sender());
+    SharedEvent Event = VersionsRequested{From};
+    if (!Pull.kind().empty())
+      Event = PullReceived{
+          From, {Pull.kind(), Pull.name()}, versionOf(Pull.have())};
+    carryOut(decide(State, Event, Shared.Timers.now()));
+  });
+  Hub.handle(peer::Envelope::kStatePush, [this](const auto &Message) {
+    const peer::StatePush &Push = Message.state_push();
+    SharedItem Item{
+        {Push.kind(), Push.name()}, versionOf(Push.version()), Push.value()};
+    carryOut(decide(State, SharedEvent(PushReceived{std::move(Item)}),
+                    Shared.Timers.now()));
+  });
+  Hub.handle(peer::Envelope::kStateVersions, [this](const auto &Message) {
+    const peer::StateVersions &Answer = Message.state_versions();
+    carryOut(decide(
+        State,
+        SharedEvent(VersionsAnswered{EntryId(Message.sender()), Answer.ready(),
+                                     notesOf(Answer.versions())}),
+        Shared.Timers.now()));
+  });
+}
+
+void MembershipController::carryOut(
+    const std::vector<LivenessAction> &Actions) {
+  bool Connect = false;
+  bool Healths = false;
+  for (const LivenessAction &Action : Actions) {
+    if (const auto *Beat = std::get_if<SendHeartbeat>(&Action))
+      sendHeartbeat(Beat->To);
+    if (const auto *Summary = std::get_if<SendSummary>(&Action))
+      sendSummary(Summary->To);
+    if (const auto *Gone = std::get_if<ConfirmedGone>(&Action)) {
+      Shared.record("entry-gone", Gone->Entry.str(), "instance list");
+      EntryGone.emit(*Gone);
+    }
+    if (const auto *Changed = std::get_if<HealthChanged>(&Action)) {
+      if (Changed->Now == Health::Down)
+        Shared.record("entry-down", Changed->Entry.str(), "no heartbeat");
+      Healths = true;
+    }
+    Connect = Connect || std::holds_alternative<MembersChanged>(Action);
+  }
+  if (Connect)
+    connectPeers();
+  if (Healths || Connect)
+    HealthsChanged.emit();
+}
+
+void MembershipController::carryOut(const std::vector<SharedAction> &Actions) {
+  for (const SharedAction &Action : Actions)
+    carryOut(Action);
+}
+
+void MembershipController::carryOut(const SharedAction &Action) {
+  if (const auto *Pull = std::get_if<SendPull>(&Action)) {
+    Hub.send(Pull->To, pullEnvelope(Pull->Key, Pull->Have));
+  } else if (const auto *Push = std::get_if<SendPush>(&Action)) {
+    Hub.send(Push->To, pushEnvelope(Push->Item));
+  } else if (const auto *Asked = std::get_if<RequestVersions>(&Action)) {
+    Hub.send(Asked->To, pullEnvelope({}, {}));
+  } else if (const auto *Answer = std::get_if<AnswerVersions>(&Action)) {
+    Hub.send(Answer->To, versionsEnvelope(Answer->Notes, Answer->Ready));
+  } else if (const auto *Put = std::get_if<PutInForce>(&Action)) {
+    Shared.record("in-force", Put->Item.Key.Kind + "/" + Put->Item.Key.Name,
+                  "version " + std::to_string(Put->Item.Version.Counter));
+    InForce.emit(Put->Item);
+  } else if (const auto *Zones = std::get_if<StoreZones>(&Action)) {
+    storeZones(*Zones);
+  } else if (std::holds_alternative<Joined>(Action)) {
+    Shared.record("joined", Shared.Config.Entry.str(), "");
+  }
+}
+
+void MembershipController::storeZones(const StoreZones &Action) {
+  if (PlatformStopped)
+    return;
+  std::string WriteId = Shared.Config.Entry.str() + "." +
+                        std::to_string(Shared.Started) + ".z" +
+                        std::to_string(++LastWrite);
+  // A conflict needs nothing: the next read of the object decides again.
+  Store.writeObject({ZonesKind, "state"}, Action.ObjectVersion,
+                    zonesObjectText(Action.Items), WriteId,
+                    [](const auto &) {});
+}
+
+void MembershipController::sendHeartbeat(const EntryId &To) {
+  peer::Envelope Envelope;
+  peer::Heartbeat &Beat = *Envelope.mutable_heartbeat();
+  Beat.set_zone(Shared.Config.Zone.str());
+  Beat.set_address(Shared.Config.Peers.str());
+  Beat.set_ready(Ready);
+  Beat.set_leaving(Liveness.Self.Leaving);
+  Beat.set_close_acknowledged(CloseAcknowledged);
+  Beat.set_digest(State.Digest);
+  addNotes(*Beat.mutable_versions(), Notes);
+  Hub.send(To, std::move(Envelope));
+}
+
+void MembershipController::sendSummary(const EntryId &To) {
+  peer::Envelope Envelope;
+  peer::Summary &Summary = *Envelope.mutable_summary();
+  Summary.set_zone(Shared.Config.Zone.str());
+  Summary.set_address(Shared.Config.Peers.str());
+  Summary.set_close_acknowledged(zoneCloseAcknowledged());
+  Summary.set_digest(State.Digest);
+  addNotes(*Summary.mutable_versions(), Notes);
+  Hub.send(To, std::move(Envelope));
+}
+
+void MembershipController::connectPeers() {
+  std::vector<PeerAddress> Addresses;
+  for (const Member &Each : members(Liveness))
+    if (!Each.Address.empty())
+      Addresses.push_back(PeerAddress{Each.Entry, Each.Address});
+  Hub.setPeers(std::move(Addresses));
+}
+
+SharedVersion MembershipController::setByOperator(const SharedKey &Key,
+                                                  const std::string &Value,
+                                                  const std::string &Operator) {
+  SharedItem Item{Key, nextStamp(State, Key, Operator), Value};
+  carryOut(
+      decide(State, SharedEvent(OperatorChange{Item}), Shared.Timers.now()));
+  return heldVersion(State, Key);
+}
+
+void MembershipController::offer(const SharedItem &Item) {
+  carryOut(decide(State, SharedEvent(PushReceived{Item}), Shared.Timers.now()));
+}
+
+bool MembershipController::zoneCloseAcknowledged() const {
+  if (!CloseAcknowledged)
+    return false;
+  for (const EntryId &Each : liveZoneEntries(Liveness)) {
+    if (Each == Shared.Config.Entry)
+      continue;
+    auto Found = PeerAcknowledged.find(Each);
+    if (Found == PeerAcknowledged.end() || !Found->second)
+      return false;
+  }
+  return true;
+}
+
+void MembershipController::stopPlatform() {
+  PlatformStopped = true;
+  if (InstanceLoop)
+    InstanceLoop->stop();
+  for (auto &[Kind, Loop] : ObjectLoops)
+    Loop->stop();
+}
+
+} // namespace samphirehill
