Move Instance to Core and let engines find members in the instance list

Cause: planner and platform adapter both need the instance value, and orders carry member ids without addresses. Change: Core/Instance.h; deleted items of a watch are listed apart; the stand-in engine looks members up on the platform and keeps known addresses in an outage; /status shows exact running ids, since credits are freed by them.

--- a/include/samphirehill/Net/Platform.h
+++ b/include/samphirehill/Net/Platform.h
@@ -22,6 +22,7 @@
 #define SAMPHIREHILL_NET_PLATFORM_H
 
 #include "samphirehill/Core/Ids.h"
+#include "samphirehill/Core/Instance.h"
 #include "samphirehill/Core/Result.h"
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Net/HttpClient.h"
@@ -30,9 +31,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace samphirehill {
@@ -50,45 +49,24 @@
 struct Object {
   ObjectKey Key;
   std::uint64_t Version = 0;
-  std::string Value;    // JSON text; empty when Deleted
-  std::string WriteId;  // of the write that made this version
-  bool Deleted = false; // only in answers to watches
+  std::string Value;   // JSON text
+  std::string WriteId; // of the write that made this version
 
   bool operator==(const Object &) const = default;
 };
 
-enum class InstanceRole { Entry, Engine, Service };
-
-// A leaving instance still runs but is to get no new work.
-enum class InstanceState { Live, Leaving };
-
-// An instance as the platform lists it, late by the list's lag.
-struct Instance {
-  InstanceId Id;
-  ZoneId Zone;
-  DomainId FabricDomain; // empty: none
-  InstanceRole Role = InstanceRole::Engine;
-  std::string Address; // "ip:port"
-  int Accelerators = 0;
-  InstanceState State = InstanceState::Live;
-  bool Deleted = false; // only in answers to watches; then only Id is set
-
-  bool operator==(const Instance &) const = default;
-};
-
 // The answer to a list or watch. If Complete, Items are all there are, and
-// whatever is missing has been deleted. Otherwise Items are those changed after
-// the revision asked for; none when the wait ended without a change.
-template <typename T> struct ItemList {
+// whatever is missing has been deleted. Otherwise Items are those changed and
+// Deleted those deleted after the revision asked for; both are empty when the
+// wait ended without a change.
+template <typename T, typename K> struct ItemList {
   std::uint64_t Revision = 0; // to watch from
   bool Complete = false;
   std::vector<T> Items;
+  std::vector<K> Deleted;
 };
-using ObjectList = ItemList<Object>;
-using InstanceList = ItemList<Instance>;
-
-// Returns "entry", "engine" or "service", as in the instance list.
-std::string_view toString(InstanceRole Role);
+using ObjectList = ItemList<Object, ObjectKey>;
+using InstanceList = ItemList<Instance, InstanceId>;
 
 class Platform {
 public:
--- a/lib/Net/Platform.cpp
+++ b/lib/Net/Platform.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace samphirehill {
@@ -16,25 +18,27 @@
     {"service", InstanceRole::Service},
 }};
 
-Object readValue(const Json &From, const Object *) {
+ObjectKey readKey(const Json &From, const Object *) {
+  return {From.at("kind").get<std::string>(),
+          From.at("name").get<std::string>()};
+}
+
+InstanceId readKey(const Json &From, const Instance *) {
+  return InstanceId(From.at("id").get<std::string>());
+}
+
+Object readValue(const Json &From, const Object *As) {
   Object Value;
-  Value.Key = {From.at("kind").get<std::string>(),
-               From.at("name").get<std::string>()};
+  Value.Key = readKey(From, As);
   Value.Version = From.at("version").get<std::uint64_t>();
-  Value.Deleted = From.value("deleted", false);
-  if (Value.Deleted)
-    return Value;
   Value.Value = From.at("value").dump();
   Value.WriteId = From.value("writeId", "");
   return Value;
 }
 
-Instance readValue(const Json &From, const Instance *) {
+Instance readValue(const Json &From, const Instance *As) {
   Instance Value;
-  Value.Id = InstanceId(From.at("id").get<std::string>());
-  Value.Deleted = From.value("deleted", false);
-  if (Value.Deleted)
-    return Value;
+  Value.Name = readKey(From, As);
   Value.Zone = ZoneId(From.at("zone").get<std::string>());
   Value.FabricDomain = DomainId(From.value("fabricDomain", ""));
   Value.Address = From.at("address").get<std::string>();
@@ -53,13 +57,18 @@
   throw std::invalid_argument("unknown instance role \"" + Role + "\"");
 }
 
-template <typename T>
-ItemList<T> readValue(const Json &From, const ItemList<T> *) {
-  ItemList<T> List;
+template <typename T, typename K>
+ItemList<T, K> readValue(const Json &From, const ItemList<T, K> *) {
+  constexpr T *As = nullptr;
+  ItemList<T, K> List;
   List.Revision = From.at("revision").get<std::uint64_t>();
   List.Complete = From.at("complete").get<bool>();
-  for (const Json &Item : From.at("items"))
-    List.Items.push_back(readValue(Item, static_cast<T *>(nullptr)));
+  for (const Json &Item : From.at("items")) {
+    if (Item.value("deleted", false))
+      List.Deleted.push_back(readKey(Item, As));
+    else
+      List.Items.push_back(readValue(Item, As));
+  }
   return List;
 }
 
@@ -226,13 +235,6 @@
 
 } // namespace
 
-std::string_view toString(InstanceRole Role) {
-  for (const auto &[Name, Known] : Roles)
-    if (Known == Role)
-      return Name;
-  return "";
-}
-
 std::unique_ptr<Platform> makeHttpPlatform(HttpClient &Client,
                                            PlatformOptions Options) {
   return std::make_unique<HttpPlatform>(Client, std::move(Options));
--- a/tools/standin-engine/Engine.cpp
+++ b/tools/standin-engine/Engine.cpp
@@ -35,6 +35,7 @@
     : Io(Io), Options(std::move(Options)), Boot(randomId()),
       Cache(this->Options.Cache) {
   keepSampling();
+  keepReadingInstances();
 }
 
 void Engine::handle(const Request &From, const ResponderPtr &To) {
@@ -71,6 +72,9 @@
 
 Json Engine::status() {
   static constexpr const char *Names[] = {"idle", "loading", "cold", "warm"};
+  Json Ids = Json::array();
+  for (const StreamPtr &Item : Streams)
+    Ids.push_back(Item->RequestId);
   return {{"instance", Options.Id},
           {"bootId", Boot},
           {"state", Names[static_cast<int>(phase())]},
@@ -86,13 +90,14 @@
           {"groupWhole", groupWhole()},
           {"running", Reported.Running},
           {"queued", Reported.Queued},
-          {"runningIds", Reported.Ids},
+          {"runningIds", Ids},
           {"tokensPerSecond", Reported.TokensPerSecond},
           {"cacheSequence", Cache.latest()},
           {"reportTimeMs", Reported.TimeMs}};
 }
 
-// The load in /status is a sample, so that it lags like a real engine's.
+// The load in /status is a sample, so that it lags like a real engine's. The
+// ids of running requests are exact: credits are given back by them.
 void Engine::keepSampling() {
   sampleLoad();
   after(Io, milliseconds(std::max<std::int64_t>(Options.StatusLagMs, 1)),
@@ -104,10 +109,8 @@
   double Seconds = static_cast<double>(Time - Reported.TimeMs) / 1000;
   Load Sample;
   Sample.TimeMs = Time;
-  for (const StreamPtr &Item : Streams) {
-    ++(Item->Running ? Sample.Running : Sample.Queued);
-    Sample.Ids.push_back(Item->RequestId);
-  }
+  Sample.Running = running();
+  Sample.Queued = static_cast<std::int64_t>(Streams.size()) - Sample.Running;
   if (Seconds > 0)
     Sample.TokensPerSecond =
         static_cast<double>(Counts["tokens"] - TokensAtSample) / Seconds;
--- a/tools/standin-engine/Engine.h
+++ b/tools/standin-engine/Engine.h
@@ -43,7 +43,9 @@
   std::int64_t StatusLagMs = 200; // age of the reported load
   std::int64_t MemberCheckMs = 250;
   PrefixCache::Limits Cache;
-  std::string Platform; // "ip:port" of the weight store, or empty
+  // "ip:port" of the platform, for the weight store and the members'
+  // addresses. Without it the engine trusts that its group is whole.
+  std::string Platform;
   // Fetches "http://ip:port/path"; calls back with status 0 when there is no
   // answer. Without it neither weights nor members are asked for.
   std::function<void(const std::string &, std::function<void(int, Json)>)>
@@ -98,14 +100,12 @@
     std::string OrderId, Model, Version, Group;
     std::int64_t Generation = 0;
     std::int64_t Rank = 0;
-    std::vector<std::string> Members;
-    std::vector<std::string> Addresses; // of the members, or empty
+    std::vector<std::string> Members; // by rank
   };
 
   struct Load {
     std::int64_t Running = 0;
     std::int64_t Queued = 0;
-    std::vector<std::string> Ids;
     std::int64_t TimeMs = 0; // wall clock
     double TokensPerSecond = 0;
   };
@@ -129,8 +129,11 @@
   void assign(const Json &Order);
   void fetchWeights(std::int64_t Attempt);
   void finishLoad(std::int64_t Attempt, Duration Delay);
+  bool asksMembers() const;
+  void keepReadingInstances();
   void checkMembers();
   void checkMember(std::size_t Rank, std::int64_t Attempt);
+  void judgeMember(std::size_t Rank, int Status, const Json &Body);
   bool groupWhole() const;
 
   // EngineStreams.cpp: generation.
@@ -169,7 +172,8 @@
   std::int64_t Fence = 0;
   std::map<std::string, Json> Obeyed; // accepted orders' answers by id
   std::int64_t LoadAttempt = 0;       // raised to abandon a load
-  // Boot id of each member when it was first seen whole; empty when missing.
+  std::map<std::string, std::string> Addresses; // by instance id
+  // Boot id of each member when it was first seen; empty before.
   std::vector<std::string> MemberBoots;
   std::vector<bool> MemberPresent;
   std::int64_t CheckAttempt = 0;
--- a/tools/standin-engine/EngineOrders.cpp
+++ b/tools/standin-engine/EngineOrders.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MaxObeyedOrders = 1024;
+constexpr Duration InstancesPeriod = seconds(1);
 
 Json refused(std::int64_t Fence, const std::string &Error) {
   return {{"accepted", false}, {"fence", Fence}, {"error", Error}};
@@ -103,14 +104,13 @@
   take(Order, "generation", Next.Generation);
   take(Order, "rank", Next.Rank);
   take(Order, "members", Next.Members);
-  take(Order, "memberAddresses", Next.Addresses);
   // The running streams' state is spread over the old members.
   if (Next.Members != Assigned.Members || Next.Group != Assigned.Group ||
       Next.Generation != Assigned.Generation)
     dropStreams();
   Assigned = std::move(Next);
-  MemberBoots.assign(Assigned.Addresses.size(), "");
-  MemberPresent.assign(Assigned.Addresses.size(), false);
+  MemberBoots.assign(Assigned.Members.size(), "");
+  MemberPresent.assign(Assigned.Members.size(), false);
   ++CheckAttempt;
   checkMembers();
 }
@@ -143,13 +143,35 @@
   });
 }
 
-// Only the leader serves, so only it asks the others, and only when the order
-// named their addresses.
+bool Engine::asksMembers() const {
+  return Options.Fetch && !Options.Platform.empty() && Assigned.Rank == 0 &&
+         Assigned.Members.size() > 1;
+}
+
+// Addresses that are known stay in use while the platform is down.
+void Engine::keepReadingInstances() {
+  if (!Options.Fetch || Options.Platform.empty())
+    return;
+  std::string Url = "http://" + Options.Platform + "/instances";
+  Options.Fetch(Url, [this](int Status, const Json &Body) {
+    Json Items = Json::array();
+    if (Status == 200)
+      take(Body, "items", Items);
+    for (const Json &Item : Items) {
+      std::string Id, Address;
+      take(Item, "id", Id);
+      take(Item, "address", Address);
+      Addresses[Id] = Address;
+    }
+    after(Io, InstancesPeriod, [this] { keepReadingInstances(); });
+  });
+}
+
+// Only the leader serves, so only it asks the others.
 void Engine::checkMembers() {
-  bool Leads = Assigned.Rank == 0 && Assigned.Addresses.size() > 1;
-  if (!Leads || !Options.Fetch)
+  if (!asksMembers())
     return;
-  for (std::size_t Rank = 1; Rank < Assigned.Addresses.size(); ++Rank)
+  for (std::size_t Rank = 1; Rank < Assigned.Members.size(); ++Rank)
     checkMember(Rank, CheckAttempt);
   after(Io, milliseconds(Options.MemberCheckMs),
         [this, Attempt = CheckAttempt] {
@@ -159,33 +181,40 @@
 }
 
 void Engine::checkMember(std::size_t Rank, std::int64_t Attempt) {
-  std::string Url = "http://" + Assigned.Addresses[Rank] + "/status";
+  auto Known = Addresses.find(Assigned.Members[Rank]);
+  if (Known == Addresses.end())
+    return;
+  std::string Url = "http://" + Known->second + "/status";
   Options.Fetch(Url, [this, Rank, Attempt](int Status, const Json &Body) {
-    if (Attempt != CheckAttempt)
-      return;
-    std::string Group, Boot, State;
-    std::int64_t Generation = 0;
-    take(Body, "group", Group);
-    take(Body, "generation", Generation);
-    take(Body, "bootId", Boot);
-    take(Body, "state", State);
-    bool Ready = State == "cold" || State == "warm";
-    bool Present = Status == 200 && Ready && Group == Assigned.Group &&
-                   Generation == Assigned.Generation;
-    if (Present && MemberBoots[Rank].empty())
-      MemberBoots[Rank] = Boot;
-    Present = Present && MemberBoots[Rank] == Boot;
-    bool Lost = MemberPresent[Rank] && !Present;
-    MemberPresent[Rank] = Present;
-    if (Lost)
-      dropStreams();
+    if (Attempt == CheckAttempt)
+      judgeMember(Rank, Status, Body);
   });
 }
 
+void Engine::judgeMember(std::size_t Rank, int Status, const Json &Body) {
+  std::string Instance, Group, Boot, State;
+  std::int64_t Generation = 0;
+  take(Body, "instance", Instance);
+  take(Body, "group", Group);
+  take(Body, "generation", Generation);
+  take(Body, "bootId", Boot);
+  take(Body, "state", State);
+  bool Ready = State == "cold" || State == "warm";
+  bool Present = Status == 200 && Ready && Instance == Assigned.Members[Rank] &&
+                 Group == Assigned.Group && Generation == Assigned.Generation;
+  if (Present && MemberBoots[Rank].empty())
+    MemberBoots[Rank] = Boot;
+  Present = Present && MemberBoots[Rank] == Boot;
+  bool Lost = MemberPresent[Rank] && !Present;
+  MemberPresent[Rank] = Present;
+  if (Lost)
+    dropStreams();
+}
+
 bool Engine::groupWhole() const {
   if (!Faults.GroupWhole)
     return false;
-  if (!Options.Fetch || Assigned.Rank != 0 || MemberPresent.size() < 2)
+  if (!asksMembers())
     return true;
   return std::all_of(MemberPresent.begin() + 1, MemberPresent.end(),
                      [](bool Present) { return Present; });
--- a/tools/standin-engine/Main.cpp
+++ b/tools/standin-engine/Main.cpp
@@ -31,7 +31,7 @@
   Add("help", "Print this help");
   Add("listen", "Address ip:port; port 0: any", Text("127.0.0.1:0"));
   Add("id", "Instance id", Text("engine"));
-  Add("platform", "Address ip:port of the weight store", Text(""));
+  Add("platform", "Address ip:port of the platform", Text(""));
   Add("checks-fence", "Refuse orders with an old fence",
       cxxopts::value<bool>()->default_value("false"));
   Add("on-crash", "exit, reset or cold", Text("reset"));
