--- /dev/null
+++ b/include/samphirehill/Groups/Fleet.h
@@ -0,0 +1,81 @@
+// What the platform and the engines tell about instances: rows of the instance
+// list and engine status reports, as value types.
+#ifndef SAMPHIREHILL_GROUPS_FLEET_H
+#define SAMPHIREHILL_GROUPS_FLEET_H
+
+#include "samphirehill/Core/Ids.h"
+#include "samphirehill/Core/Result.h"
+#include "samphirehill/Core/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace samphirehill {
+
+enum class InstanceRole { Entry, Engine, Service };
+enum class InstanceState { Live, Leaving };
+
+// A row of the platform's instance list.
+struct Instance {
+  InstanceId Name;
+  ZoneId Zone;
+  DomainId FabricDomain;
+  InstanceRole Role = InstanceRole::Engine;
+  std::string Address; // "<IP>:<port>"
+  int Accelerators = 0;
+  InstanceState State = InstanceState::Live;
+
+  bool operator==(const Instance &) const = default;
+};
+
+// Parses one item of GET /instances. Fails with BadAnswer.
+Result<Instance> parseInstance(const nlohmann::json &Item);
+
+enum class EngineState { Idle, Loading, Cold, Warm };
+
+// An engine's answer to GET /status.
+struct EngineReport {
+  InstanceId Name;
+  BootId Boot;
+  EngineState State = EngineState::Idle;
+  std::string Model;
+  std::string Version;
+  std::vector<std::string> Adapters;
+  GroupId Group; // empty: in no group
+  std::uint64_t Generation = 0;
+  std::vector<InstanceId> Members; // by rank
+  std::uint64_t Fence = 0;
+  int Running = 0;
+  int Queued = 0;
+  std::vector<RequestId> RunningIds;
+  double TokensPerSecond = 0;
+  std::uint64_t CacheSequence = 0;
+  // When the status request was sent, by this process's clock. The engine's
+  // state is at least as new as this.
+  TimePoint At;
+
+  // Tells whether the weights are in place.
+  bool isLoaded() const {
+    return State == EngineState::Cold || State == EngineState::Warm;
+  }
+
+  bool operator==(const EngineReport &) const = default;
+};
+
+// Parses an answer to GET /status that was asked for at At. Fails with
+// BadAnswer.
+Result<EngineReport> parseReport(const nlohmann::json &Answer, TimePoint At);
+
+// The latest report of each engine.
+using EngineReports = std::map<InstanceId, EngineReport>;
+
+// Returns Name's report, or nullptr.
+const EngineReport *findReport(const EngineReports &Reports,
+                               const InstanceId &Name);
+
+} // namespace samphirehill
+
+#endif // SAMPHIREHILL_GROUPS_FLEET_H
--- /dev/null
+++ b/lib/Groups/GroupHealth.cpp
@@ -0,0 +1,126 @@
+#include "samphirehill/Groups/GroupHealth.h"
+
+#include <algorithm>
+
+namespace samphirehill {
+namespace {
+
+GroupFault judgeMember(const Group &Judged, const InstanceId &Member,
+                       const EngineReports &Reports, const ReadyGroup *Ready,
+                       TimePoint Now) {
+  const EngineReport *Report = findReport(Reports, Member);
+  if (!Report)
+    return GroupFault::NoReport;
+  if (Now - Report->At > ReportAgeLimit)
+    return GroupFault::StaleReport;
+  if (Report->Group != Judged.Name)
+    return GroupFault::WrongGroup;
+  if (Report->Generation != Judged.Generation)
+    return GroupFault::WrongGeneration;
+  if (Report->Members != Judged.Members)
+    return GroupFault::WrongMembers;
+  if (Report->Version != Judged.Version)
+    return GroupFault::WrongVersion;
+  if (!Report->isLoaded())
+    return GroupFault::NotLoaded;
+  if (Ready && Ready->Boots.at(Member) != Report->Boot)
+    return GroupFault::Rebooted;
+  return GroupFault::None;
+}
+
+GroupHealth judge(const Group &Judged, const EngineReports &Reports,
+                  const std::map<InstanceId, int> &Claims,
+                  const ReadyGroup *Ready, TimePoint Now) {
+  GroupHealth First;
+  for (const InstanceId &Member : Judged.Members) {
+    GroupFault Fault = Claims.at(Member) > 1
+                           ? GroupFault::ClaimedTwice
+                           : judgeMember(Judged, Member, Reports, Ready, Now);
+    // A reboot takes precedence: it is the one fault that a new report alone
+    // never ends.
+    bool Replaces = First.serves() || (Fault == GroupFault::Rebooted &&
+                                       First.Fault != GroupFault::Rebooted);
+    if (Fault != GroupFault::None && Replaces)
+      First = {Fault, Member};
+  }
+  return First;
+}
+
+} // namespace
+
+std::string_view toString(GroupFault Fault) {
+  switch (Fault) {
+  case GroupFault::None:
+    return "none";
+  case GroupFault::NoReport:
+    return "no-report";
+  case GroupFault::StaleReport:
+    return "stale-report";
+  case GroupFault::WrongGroup:
+    return "wrong-group";
+  case GroupFault::WrongGeneration:
+    return "wrong-generation";
+  case GroupFault::WrongMembers:
+    return "wrong-members";
+  case GroupFault::WrongVersion:
+    return "wrong-version";
+  case GroupFault::NotLoaded:
+    return "not-loaded";
+  case GroupFault::Rebooted:
+    return "rebooted";
+  case GroupFault::ClaimedTwice:
+    return "claimed-twice";
+  }
+  return "unknown";
+}
+
+std::map<GroupId, GroupHealth> judgeGroups(GroupHealthState &State,
+                                           const Placement &Stored,
+                                           const EngineReports &Reports,
+                                           TimePoint Now) {
+  std::map<InstanceId, int> Claims;
+  std::set<GroupId> Present;
+  for (const Group &Judged : Stored.Groups) {
+    Present.insert(Judged.Name);
+    for (const InstanceId &Member : Judged.Members)
+      ++Claims[Member];
+  }
+  std::erase_if(State.Ready, [&](const auto &Element) {
+    return !Present.contains(Element.first);
+  });
+
+  std::map<GroupId, GroupHealth> Healths;
+  for (const Group &Judged : Stored.Groups) {
+    auto Place = State.Ready.find(Judged.Name);
+    bool IsKnown = Place != State.Ready.end() &&
+                   Place->second.Generation == Judged.Generation;
+    // The boot ids belong to one member list; a placement that differs from
+    // the one they were recorded for starts afresh.
+    IsKnown =
+        IsKnown && std::all_of(Judged.Members.begin(), Judged.Members.end(),
+                               [&](const InstanceId &Member) {
+                                 return Place->second.Boots.contains(Member);
+                               });
+    GroupHealth Health =
+        judge(Judged, Reports, Claims, IsKnown ? &Place->second : nullptr, Now);
+    Healths[Judged.Name] = Health;
+    if (!Health.serves() || IsKnown)
+      continue;
+    ReadyGroup &Ready = State.Ready[Judged.Name];
+    Ready = {Judged.Generation, {}};
+    for (const InstanceId &Member : Judged.Members)
+      Ready.Boots[Member] = Reports.at(Member).Boot;
+  }
+  return Healths;
+}
+
+std::set<GroupId>
+rebootedGroups(const std::map<GroupId, GroupHealth> &Healths) {
+  std::set<GroupId> Names;
+  for (const auto &[Name, Health] : Healths)
+    if (Health.Fault == GroupFault::Rebooted)
+      Names.insert(Name);
+  return Names;
+}
+
+} // namespace samphirehill
