Add zone planner and order state machine

Cause: groups need a controller's decisions: which engines form which group and which orders make them do so. The order state machine has no tests yet.

--- a/include/samphirehill/Groups/Planner.h
+++ b/include/samphirehill/Groups/Planner.h
@@ -52,10 +52,11 @@
 // controller's business (takeOver).
 //
 // Rules: members of a group share a fabric domain; an engine that is gone,
-// leaving, lost or replaced is in no group of Next; spares are in the domain
-// of their group and belong to it alone; groups that wait for weights are at
-// most max_concurrent_loads of their text; a zone that is out keeps its groups
-// and starts no loads.
+// leaving, lost or replaced joins no group, and a group that has one is
+// repaired, formed elsewhere, or kept until an engine is free; spares are in
+// the domain of their group and belong to it alone; at most
+// max_concurrent_loads groups of a text wait for weights; a zone that is out
+// keeps its groups and starts no loads.
 Plan plan(const PlannerInput &Input);
 
 // Returns how many replicas of Of the zone should have: replicas_per_zone, or
--- /dev/null
+++ b/lib/Groups/Orders.cpp
@@ -0,0 +1,357 @@
+#include "samphirehill/Groups/Orders.h"
+
+#include "samphirehill/Groups/GroupHealth.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace samphirehill {
+namespace {
+
+using Actions = std::vector<OrdersAction>;
+
+std::string_view nameOf(OrderType Type) {
+  switch (Type) {
+  case OrderType::Load:
+    return "load";
+  case OrderType::Unload:
+    return "unload";
+  case OrderType::Adapter:
+    return "adapter";
+  case OrderType::Role:
+    return "role";
+  }
+  return "";
+}
+
+bool isUnderWay(const EngineOrders &Engine) {
+  return Engine.Phase == OrderPhase::Sent ||
+         Engine.Phase == OrderPhase::Unsettled;
+}
+
+bool hasRole(const EngineReport &Report, const EngineTarget &Target) {
+  if (Report.Group != Target.Group)
+    return false;
+  if (Target.Group.empty())
+    return true;
+  return Report.Generation == Target.Generation &&
+         Report.Members == Target.Members && Report.Model == Target.Model &&
+         Report.Version == Target.Version && Report.State != EngineState::Idle;
+}
+
+std::string missingAdapter(const EngineReport &Report,
+                           const EngineTarget &Target) {
+  if (Target.Group.empty() || !Report.isLoaded())
+    return "";
+  for (const std::string &Adapter : Target.Adapters)
+    if (std::find(Report.Adapters.begin(), Report.Adapters.end(), Adapter) ==
+        Report.Adapters.end())
+      return Adapter;
+  return "";
+}
+
+// Tells whether Report shows that the engine has carried out Sent.
+bool shows(const EngineReport &Report, const Order &Sent) {
+  if (Sent.Type == OrderType::Adapter)
+    return std::find(Report.Adapters.begin(), Report.Adapters.end(),
+                     Sent.Adapter) != Report.Adapters.end();
+  return hasRole(Report, {Sent.Group,
+                          Sent.Generation,
+                          Sent.Model,
+                          Sent.Version,
+                          {},
+                          Sent.Members,
+                          Sent.Rank});
+}
+
+Order makeOrder(OrdersState &State, const EngineOrders &Engine) {
+  const EngineTarget &Target = Engine.Target;
+  const EngineReport &Report = *Engine.Report;
+  Order Value;
+  Value.OrderId = State.Self.Entry.str() + "." +
+                  std::to_string(State.Self.Start) + "." +
+                  std::to_string(++State.Count);
+  Value.Fence = State.Fence;
+  Value.Group = Target.Group;
+  Value.Generation = Target.Generation;
+  Value.Model = Target.Model;
+  Value.Version = Target.Version;
+  Value.Members = Target.Members;
+  Value.Rank = Target.Rank;
+  bool HasWeights = Report.isLoaded() && Report.Model == Target.Model &&
+                    Report.Version == Target.Version;
+  if (Target.Group.empty()) {
+    Value.Type = OrderType::Unload;
+  } else if (!HasWeights) {
+    Value.Type = OrderType::Load;
+  } else if (!hasRole(Report, Target)) {
+    Value.Type = OrderType::Role;
+  } else {
+    Value.Type = OrderType::Adapter;
+    Value.Adapter = missingAdapter(Report, Target);
+  }
+  return Value;
+}
+
+void enter(EngineOrders &Engine, OrderPhase Phase, TimePoint Now) {
+  if (Engine.Phase != Phase)
+    Engine.Since = Now;
+  Engine.Phase = Phase;
+}
+
+void depose(OrdersState &State, std::uint64_t Fence, Actions &Out) {
+  State.DeposedBy = std::max(State.DeposedBy, Fence);
+  State.Controls = false;
+  Out.emplace_back(ReadPlacement{Fence});
+}
+
+// Settles an order that was answered or whose answer is lost. Returns false
+// while that needs more time or a newer report.
+bool settle(const OrdersState &State, EngineOrders &Engine,
+            const InstanceId &Name, TimePoint Now, Actions &Out) {
+  if (!Engine.Report || Engine.Report->At <= Engine.Since)
+    return false;
+  if (shows(*Engine.Report, *Engine.Last)) {
+    enter(Engine, OrderPhase::Idle, Now);
+    return true;
+  }
+  if (!State.Controls) {
+    // The order may still wait in the engine; only a late report that shows
+    // nothing of it proves that it never arrived.
+    bool NeverDelivered =
+        !Engine.WasLost || Engine.Report->At - Engine.Since >= OrderSettleTime;
+    if (NeverDelivered)
+      enter(Engine, OrderPhase::Idle, Now);
+    return NeverDelivered;
+  }
+  if (Now - Engine.Since < OrderRetryTime)
+    return false;
+  const Order &Last = *Engine.Last;
+  bool IsCurrent = Last.Fence == State.Fence &&
+                   Last.Group == Engine.Target.Group &&
+                   Last.Generation == Engine.Target.Generation &&
+                   Last.Members == Engine.Target.Members;
+  if (Engine.WasLost && IsCurrent) {
+    enter(Engine, OrderPhase::Sent, Now);
+    Out.emplace_back(SendOrder{Name, Last});
+    return false;
+  }
+  enter(Engine, OrderPhase::Idle, Now);
+  return true;
+}
+
+void advance(OrdersState &State, const InstanceId &Name, EngineOrders &Engine,
+             TimePoint Now, Actions &Out) {
+  if (Engine.Phase == OrderPhase::Sent) {
+    if (Now - Engine.Since < OrderTimeout)
+      return;
+    enter(Engine, OrderPhase::Unsettled, Now);
+    Engine.WasLost = true;
+    Out.emplace_back(ReadStatus{Name});
+  }
+  if (Engine.Phase == OrderPhase::Unsettled &&
+      !settle(State, Engine, Name, Now, Out))
+    return;
+  if (!State.Controls || !Engine.HasTarget || !Engine.Report ||
+      Now - Engine.Report->At > ReportAgeLimit ||
+      satisfies(*Engine.Report, Engine.Target)) {
+    enter(Engine, OrderPhase::Idle, Now);
+    return;
+  }
+  const EngineReport &Report = *Engine.Report;
+  if (Report.Fence > State.Fence) {
+    enter(Engine, OrderPhase::Idle, Now);
+    return depose(State, Report.Fence, Out);
+  }
+  bool GroupChanges = Report.Group != Engine.Target.Group;
+  if (GroupChanges && !Engine.ChecksFence && !State.FormerSettled)
+    return enter(Engine, OrderPhase::AwaitsTakeover, Now);
+  bool KeepsRole = hasRole(Report, Engine.Target);
+  if (!KeepsRole && Report.Running + Report.Queued > 0) {
+    enter(Engine, OrderPhase::Draining, Now);
+    if (Now - Engine.Since < State.DrainLimit)
+      return;
+  }
+  Engine.Last = makeOrder(State, Engine);
+  Engine.WasLost = false;
+  Engine.WasRefused = false;
+  enter(Engine, OrderPhase::Sent, Now);
+  Out.emplace_back(SendOrder{Name, *Engine.Last});
+}
+
+void apply(OrdersState &State, const PlacementStored &Event) {
+  // A read that was overtaken by a later one must not reinstate a controller.
+  if (Event.Stored.Fence < State.Fence)
+    return;
+  State.Fence = Event.Stored.Fence;
+  State.Controls =
+      Event.Stored.Controller == State.Self && State.DeposedBy <= State.Fence;
+  State.FormerSettled = Event.Stored.AckFence == State.Fence;
+  State.OwesAcknowledgement =
+      std::any_of(Event.Stored.Former.begin(), Event.Stored.Former.end(),
+                  [&](const FormerController &Element) {
+                    return Element.Run == State.Self;
+                  });
+  std::erase_if(State.Engines, [&](const auto &Element) {
+    return !Event.ChecksFence.contains(Element.first);
+  });
+  for (const auto &[Name, ChecksFence] : Event.ChecksFence) {
+    EngineOrders &Engine = State.Engines[Name];
+    Engine.ChecksFence = ChecksFence;
+    auto Target = Event.Targets.find(Name);
+    Engine.HasTarget = Target != Event.Targets.end();
+    if (Engine.HasTarget)
+      Engine.Target = Target->second;
+  }
+}
+
+void apply(OrdersState &State, const ReportReceived &Event) {
+  auto Place = State.Engines.find(Event.Report.Name);
+  if (Place == State.Engines.end())
+    return;
+  std::optional<EngineReport> &Known = Place->second.Report;
+  if (!Known || Known->At <= Event.Report.At)
+    Known = Event.Report;
+}
+
+// Returns the engine that waits for the answer to OrderId, or nullptr.
+EngineOrders *findWaiting(OrdersState &State, const InstanceId &Name,
+                          const std::string &OrderId) {
+  auto Place = State.Engines.find(Name);
+  if (Place == State.Engines.end() || !isUnderWay(Place->second) ||
+      Place->second.Last->OrderId != OrderId)
+    return nullptr;
+  return &Place->second;
+}
+
+void apply(OrdersState &State, const OrderAnswered &Event, TimePoint Now,
+           Actions &Out) {
+  EngineOrders *Engine = findWaiting(State, Event.Engine, Event.OrderId);
+  if (!Engine)
+    return;
+  Engine->Phase = OrderPhase::Unsettled;
+  Engine->Since = Now;
+  Engine->WasLost = false;
+  Engine->WasRefused = !Event.Accepted;
+  if (!Event.Accepted && Event.Fence > Engine->Last->Fence)
+    depose(State, Event.Fence, Out);
+  Out.emplace_back(ReadStatus{Event.Engine});
+}
+
+void apply(OrdersState &State, const OrderAnswerLost &Event, TimePoint Now,
+           Actions &Out) {
+  EngineOrders *Engine = findWaiting(State, Event.Engine, Event.OrderId);
+  if (!Engine || Engine->Phase != OrderPhase::Sent)
+    return;
+  Engine->Phase = OrderPhase::Unsettled;
+  Engine->Since = Now;
+  Engine->WasLost = true;
+  Out.emplace_back(ReadStatus{Event.Engine});
+}
+
+bool hasOldOrderUnderWay(const OrdersState &State) {
+  return std::any_of(State.Engines.begin(), State.Engines.end(),
+                     [&](const auto &Element) {
+                       return isUnderWay(Element.second) &&
+                              Element.second.Last->Fence < State.Fence;
+                     });
+}
+
+} // namespace
+
+bool satisfies(const EngineReport &Report, const EngineTarget &Target) {
+  return hasRole(Report, Target) && missingAdapter(Report, Target).empty();
+}
+
+nlohmann::json toJson(const Order &Value) {
+  nlohmann::json Members = nlohmann::json::array();
+  for (const InstanceId &Member : Value.Members)
+    Members.push_back(Member.str());
+  return {{"orderId", Value.OrderId},      {"fence", Value.Fence},
+          {"type", nameOf(Value.Type)},    {"model", Value.Model},
+          {"version", Value.Version},      {"adapter", Value.Adapter},
+          {"group", Value.Group.str()},    {"generation", Value.Generation},
+          {"members", std::move(Members)}, {"rank", Value.Rank}};
+}
+
+std::map<InstanceId, EngineTarget>
+targetsOf(const Placement &Stored, const std::vector<OperatorsText> &Texts,
+          const std::vector<InstanceId> &Engines) {
+  std::map<InstanceId, EngineTarget> Targets;
+  for (const InstanceId &Name : Engines)
+    Targets[Name] = {};
+  for (const Group &Element : Stored.Groups) {
+    const Service *Of = nullptr;
+    for (const OperatorsText &Text : Texts)
+      if (const Service *Found = Text.findService(Element.Service))
+        Of = Found;
+    int Rank = 0;
+    for (const InstanceId &Member : Element.Members) {
+      auto Place = Targets.find(Member);
+      int MemberRank = Rank++;
+      if (Place == Targets.end())
+        continue;
+      if (Of)
+        Place->second = {Element.Name,    Element.Generation, Of->Model,
+                         Element.Version, Of->Adapters,       Element.Members,
+                         MemberRank};
+      else
+        Targets.erase(Place);
+    }
+  }
+  return Targets;
+}
+
+std::map<InstanceId, bool> fenceChecks(const Placement &Stored,
+                                       const std::vector<OperatorsText> &Texts,
+                                       const std::vector<InstanceId> &Engines) {
+  std::map<InstanceId, const Group *> Groups;
+  for (const Group &Element : Stored.Groups)
+    for (const InstanceId &Member : Element.Members)
+      Groups[Member] = &Element;
+  // An engine outside groups has no service; only an override speaks for it.
+  const Service NoService;
+  std::map<InstanceId, bool> Checks;
+  for (const InstanceId &Name : Engines) {
+    auto Place = Groups.find(Name);
+    bool Value = false;
+    for (const OperatorsText &Text : Texts) {
+      const Service *Of = Place == Groups.end()
+                              ? nullptr
+                              : Text.findService(Place->second->Service);
+      Value = Value || Text.checksFence(Of ? *Of : NoService, Name);
+    }
+    Checks[Name] = Value;
+  }
+  return Checks;
+}
+
+std::vector<OrdersAction> step(OrdersState &State, const OrdersEvent &Event,
+                               TimePoint Now) {
+  Actions Out;
+  if (const auto *Stored = std::get_if<PlacementStored>(&Event))
+    apply(State, *Stored);
+  else if (const auto *Reported = std::get_if<ReportReceived>(&Event))
+    apply(State, *Reported);
+  else if (const auto *Answered = std::get_if<OrderAnswered>(&Event))
+    apply(State, *Answered, Now, Out);
+  else if (const auto *Lost = std::get_if<OrderAnswerLost>(&Event))
+    apply(State, *Lost, Now, Out);
+
+  // A report concerns one engine; at 1,300 engines a pass over all of them for
+  // each report would cost 1,300 times as much.
+  if (const auto *Reported = std::get_if<ReportReceived>(&Event)) {
+    auto Place = State.Engines.find(Reported->Report.Name);
+    if (Place != State.Engines.end())
+      advance(State, Place->first, Place->second, Now, Out);
+    return Out;
+  }
+  for (auto &[Name, Engine] : State.Engines)
+    advance(State, Name, Engine, Now, Out);
+  if (State.OwesAcknowledgement && !hasOldOrderUnderWay(State))
+    Out.emplace_back(AcknowledgeTakeover{});
+  return Out;
+}
+
+} // namespace samphirehill
--- /dev/null
+++ b/lib/Groups/Planner.cpp
@@ -0,0 +1,351 @@
+#include "samphirehill/Groups/Planner.h"
+
+#include "ZonePlanner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace samphirehill {
+
+std::string joined(std::initializer_list<std::string_view> Parts) {
+  std::string Text;
+  for (std::string_view Part : Parts)
+    Text += Part;
+  return Text;
+}
+
+std::string weightsKey(const std::string &Model, const std::string &Version) {
+  return joined({Model, "@", Version});
+}
+
+int wantedReplicas(const OperatorsText &Text, const Service &Of,
+                   const ZoneId &Where, const std::set<ZoneId> &ZonesOut) {
+  if (!Text.runsIn(Of, Where) || ZonesOut.contains(Where))
+    return 0;
+  if (Of.ReplicasPerZone > 0)
+    return Of.ReplicasPerZone;
+  std::set<ZoneId> Sharing;
+  for (const Zone &Value : Text.zones())
+    if (Text.runsIn(Of, Value.Name) && !ZonesOut.contains(Value.Name))
+      Sharing.insert(Value.Name);
+  auto Count = static_cast<int>(Sharing.size());
+  auto Index =
+      static_cast<int>(std::distance(Sharing.begin(), Sharing.find(Where)));
+  return Of.Replicas / Count + (Index < Of.Replicas % Count ? 1 : 0);
+}
+
+ZonePlanner::ZonePlanner(const PlannerInput &Input)
+    : Input(Input), Pool({}), NextGroup(Input.Current.NextGroup) {
+  findDemands();
+  findUsable();
+  Pool = makePool();
+}
+
+void ZonePlanner::findDemands() {
+  for (const OperatorsText &Text : Input.Texts) {
+    for (const Service &Of : Text.services()) {
+      if (Of.Kind != ServiceKind::Model || !Text.runsIn(Of, Input.Zone))
+        continue;
+      int Wanted = wantedReplicas(Text, Of, Input.Zone, Input.ZonesOut);
+      Demands[Of.Name] = {&Text, &Of, Wanted};
+      Sizes[Of.Accelerators].insert(Of.ReplicaSize);
+    }
+  }
+}
+
+void ZonePlanner::findUsable() {
+  std::vector<const Instance *> Engines;
+  std::set<InstanceId> Silent;
+  for (const Instance &Value : Input.Instances) {
+    if (Value.Role != InstanceRole::Engine || Value.Zone != Input.Zone ||
+        Value.State != InstanceState::Live)
+      continue;
+    Engines.push_back(&Value);
+    const EngineReport *Report = findReport(Input.Reports, Value.Name);
+    TimePoint Heard = Input.CollectingSince;
+    if (Report)
+      Heard = std::max(Heard, Report->At);
+    if (Input.Now - Heard > MemberLossTime)
+      Silent.insert(Value.Name);
+  }
+  // When most engines are silent, the fault is more likely this entry's own
+  // connection than theirs.
+  if (Silent.size() * 2 > Engines.size())
+    Silent.clear();
+  for (const Instance *Value : Engines)
+    if (!Silent.contains(Value->Name) && !Input.Replaced.contains(Value->Name))
+      Usable[Value->Name] = Value;
+}
+
+FreeEngine ZonePlanner::freeEngine(const Instance &Value) const {
+  FreeEngine Engine{Value.Name, Value.FabricDomain, Value.Accelerators, ""};
+  const EngineReport *Report = findReport(Input.Reports, Value.Name);
+  if (Report && Report->isLoaded())
+    Engine.Weights = weightsKey(Report->Model, Report->Version);
+  return Engine;
+}
+
+FreePool ZonePlanner::makePool() const {
+  FreePool Free(Sizes);
+  for (const auto &[Name, Value] : Usable)
+    Free.add(freeEngine(*Value));
+  return Free;
+}
+
+MemberNeed ZonePlanner::needOf(const Service &Of,
+                               const std::string &Version) const {
+  return {Of.Accelerators, weightsKey(Of.Model, Version)};
+}
+
+bool ZonePlanner::hasWeights(const InstanceId &Name, const Service &Of,
+                             const std::string &Version) const {
+  const EngineReport *Report = findReport(Input.Reports, Name);
+  return Report && Report->isLoaded() && Report->Model == Of.Model &&
+         Report->Version == Version;
+}
+
+std::optional<DomainId> ZonePlanner::domainOf(const Kept &Element) const {
+  for (const InstanceId &Member : Element.Value.Members)
+    if (auto Place = Usable.find(Member); Place != Usable.end())
+      return Place->second->FabricDomain;
+  return std::nullopt;
+}
+
+bool ZonePlanner::mayLoad(const Demand &For) const {
+  auto Place = Loading.find(For.Text);
+  int Count = Place == Loading.end() ? 0 : Place->second;
+  return Count < For.Text->limits().MaxConcurrentLoads;
+}
+
+// Puts the usable members back into the pool.
+void ZonePlanner::release(const Kept &Element) {
+  for (const InstanceId &Member : Element.Value.Members)
+    if (auto Place = Usable.find(Member); Place != Usable.end())
+      Pool.add(freeEngine(*Place->second));
+}
+
+void ZonePlanner::drop(std::size_t Index, std::string_view Why) {
+  Kept &Element = Groups[Index];
+  Dropped[Index] = true;
+  --Element.For->Have;
+  if (Element.IsLoading)
+    --Loading[Element.For->Text];
+  release(Element);
+  Reasons.push_back(
+      joined({"group ", Element.Value.Name.str(), " is dissolved: ", Why}));
+}
+
+void ZonePlanner::keepGroups() {
+  for (const Group &Value : Input.Current.Groups) {
+    auto Place = Demands.find(Value.Service);
+    if (Place == Demands.end()) {
+      Reasons.push_back(
+          joined({"group ", Value.Name.str(), " is dissolved: service ",
+                  Value.Service.str(), " does not run in this zone"}));
+      continue;
+    }
+    Kept Element{Value, &Place->second, {}, false};
+    for (std::size_t Rank = 0; Rank < Value.Members.size(); ++Rank) {
+      auto Member = Usable.find(Value.Members[Rank]);
+      if (Member == Usable.end()) {
+        Element.Missing.push_back(Rank);
+        continue;
+      }
+      Pool.remove(Member->first);
+      if (!hasWeights(Member->first, *Element.For->Of, Value.Version))
+        Element.IsLoading = true;
+    }
+    // A group with a member missing can't load; it waits for its repair.
+    Element.IsLoading = Element.IsLoading && Element.Missing.empty();
+    if (Element.IsLoading)
+      ++Loading[Element.For->Text];
+    ++Element.For->Have;
+    if (!Input.Serving.contains(Value.Name))
+      ++Element.For->Faulty;
+    if (Input.Rebooted.contains(Value.Name) && Element.Missing.empty()) {
+      ++Element.Value.Generation;
+      Reasons.push_back(joined(
+          {"group ", Value.Name.str(), " forms again: a member has rebooted"}));
+    }
+    Groups.push_back(std::move(Element));
+  }
+  Dropped.assign(Groups.size(), false);
+}
+
+void ZonePlanner::dropExcess() {
+  std::vector<std::size_t> Order(Groups.size());
+  for (std::size_t I = 0; I < Order.size(); ++I)
+    Order[I] = I;
+  // The least useful come first: broken ones, then the newest.
+  std::stable_sort(
+      Order.begin(), Order.end(), [&](std::size_t Left, std::size_t Right) {
+        auto Key = [&](std::size_t I) {
+          const Kept &Element = Groups[I];
+          return std::tuple(Element.Missing.empty(),
+                            Input.Serving.contains(Element.Value.Name));
+        };
+        return std::tuple(Key(Left), Right) < std::tuple(Key(Right), Left);
+      });
+  for (std::size_t I : Order)
+    if (Groups[I].For->Have > Groups[I].For->Wanted)
+      drop(I, "its service wants fewer replicas");
+}
+
+// Brings groups to the text's version and size, one of each service at a time,
+// so that the others serve meanwhile.
+void ZonePlanner::updateOneOfEachService() {
+  std::set<ServiceId> Done;
+  for (std::size_t I = 0; I < Groups.size(); ++I) {
+    Kept &Element = Groups[I];
+    const Service &Of = *Element.For->Of;
+    bool SameSize = Element.Value.Members.size() ==
+                    static_cast<std::size_t>(Of.ReplicaSize);
+    bool SameVersion = Element.Value.Version == Of.Version;
+    if (Dropped[I] || (SameSize && SameVersion) || Done.contains(Of.Name))
+      continue;
+    bool Serves = Input.Serving.contains(Element.Value.Name);
+    if (Serves && (Element.For->Faulty > 0 || !mayLoad(*Element.For)))
+      continue;
+    Done.insert(Of.Name);
+    if (!SameSize) {
+      drop(I, "its service wants another replica size");
+      continue;
+    }
+    if (!Element.IsLoading && Element.Missing.empty())
+      ++Loading[Element.For->Text];
+    Element.IsLoading = Element.Missing.empty();
+    Element.Value.Version = Of.Version;
+    ++Element.Value.Generation;
+    Reasons.push_back(joined({"group ", Element.Value.Name.str(),
+                              " changes to version ", Of.Version}));
+  }
+}
+
+bool ZonePlanner::tryRepair(Kept &Element) {
+  const Service &Of = *Element.For->Of;
+  std::optional<DomainId> Domain = domainOf(Element);
+  auto Count = static_cast<int>(Element.Missing.size());
+  if (!Domain || Pool.count(*Domain, Of.Accelerators) < Count)
+    return false;
+  std::vector<InstanceId> Chosen;
+  const std::optional<InstanceId> &Spare = Element.Value.Spare;
+  if (Spare && Pool.contains(*Spare) &&
+      Usable.at(*Spare)->FabricDomain == *Domain &&
+      Usable.at(*Spare)->Accelerators >= Of.Accelerators) {
+    Chosen.push_back(*Spare);
+    Pool.remove(*Spare);
+  }
+  auto Rest = Count - static_cast<int>(Chosen.size());
+  for (InstanceId &Name :
+       Pool.take(*Domain, Rest, needOf(Of, Element.Value.Version)))
+    Chosen.push_back(std::move(Name));
+  Group Repaired = Element.Value;
+  for (std::size_t I = 0; I < Chosen.size(); ++I)
+    Repaired.Members[Element.Missing[I]] = Chosen[I];
+  bool NeedsLoad =
+      std::any_of(Repaired.Members.begin(), Repaired.Members.end(),
+                  [&](const InstanceId &Member) {
+                    return !hasWeights(Member, Of, Repaired.Version);
+                  });
+  // The chosen engines stay out of the pool, so that the repair finds them
+  // when a load has ended.
+  if (NeedsLoad && !mayLoad(*Element.For)) {
+    ++Deferred;
+    return true;
+  }
+  if (NeedsLoad)
+    ++Loading[Element.For->Text];
+  Element.IsLoading = NeedsLoad;
+  Element.Missing.clear();
+  Repaired.Spare.reset();
+  ++Repaired.Generation;
+  Element.Value = std::move(Repaired);
+  Reasons.push_back(
+      joined({"group ", Element.Value.Name.str(), " is repaired with ",
+              std::to_string(Chosen.size()), " new members"}));
+  return true;
+}
+
+void ZonePlanner::repair() {
+  std::vector<std::size_t> Broken;
+  for (std::size_t I = 0; I < Groups.size(); ++I)
+    if (!Dropped[I] && !Groups[I].Missing.empty())
+      Broken.push_back(I);
+  auto Cost = [&](std::size_t I) {
+    const Kept &Element = Groups[I];
+    std::size_t Unloaded = 0;
+    for (const InstanceId &Member : Element.Value.Members)
+      if (!hasWeights(Member, *Element.For->Of, Element.Value.Version))
+        ++Unloaded;
+    return std::tuple(Element.Missing.size(), Unloaded,
+                      -Element.For->Of->Weight, I);
+  };
+  std::sort(Broken.begin(), Broken.end(),
+            [&](std::size_t Left, std::size_t Right) {
+              return Cost(Left) < Cost(Right);
+            });
+  std::vector<std::size_t> Left;
+  for (std::size_t I : Broken)
+    if (!tryRepair(Groups[I]))
+      Left.push_back(I);
+  dissolveForOthers(std::move(Left));
+}
+
+// Broken groups that no free engine can repair, cheapest first: the members of
+// the dearest ones repair the cheapest ones of their domain; a group that fits
+// elsewhere as a whole is formed anew there.
+void ZonePlanner::dissolveForOthers(std::vector<std::size_t> Broken) {
+  std::map<DomainId, std::vector<std::size_t>> ByDomain;
+  for (std::size_t I : Broken) {
+    // A slow member is no reason to lose a group that serves.
+    const std::vector<std::size_t> &Missing = Groups[I].Missing;
+    bool OnlySlow =
+        std::all_of(Missing.begin(), Missing.end(), [&](std::size_t Rank) {
+          return Input.Replaced.contains(Groups[I].Value.Members[Rank]);
+        });
+    if (OnlySlow)
+      continue;
+    if (std::optional<DomainId> Domain = domainOf(Groups[I]))
+      ByDomain[*Domain].push_back(I);
+    else
+      drop(I, "all its members are lost");
+  }
+  for (auto &[Domain, Indexes] : ByDomain) {
+    std::size_t End = Indexes.size();
+    for (std::size_t I = 0; I < End; ++I) {
+      Kept &Element = Groups[Indexes[I]];
+      while (!tryRepair(Element) && End > I + 1)
+        drop(Indexes[--End], "its members repair other groups");
+    }
+    for (std::size_t I = 0; I < End; ++I) {
+      const Kept &Element = Groups[Indexes[I]];
+      const Service &Of = *Element.For->Of;
+      if (!Element.Missing.empty() && !Dropped[Indexes[I]] &&
+          mayLoad(*Element.For) &&
+          Pool.bestFit(Of.ReplicaSize, Of.Accelerators))
+        drop(Indexes[I], "it can't be repaired in its domain");
+    }
+  }
+}
+
+Plan plan(const PlannerInput &Input) {
+  Plan Result;
+  if (Input.ZonesOut.contains(Input.Zone)) {
+    Result.Next = Input.Current;
+    planHomes(Input, Result);
+    return Result;
+  }
+  ZonePlanner Planner(Input);
+  Planner.keepGroups();
+  Planner.dropExcess();
+  Planner.updateOneOfEachService();
+  Planner.repair();
+  Planner.formNew();
+  Planner.moveOne();
+  Planner.assignSpares();
+  Result = Planner.finish();
+  planHomes(Input, Result);
+  return Result;
+}
+
+} // namespace samphirehill
