--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -84,8 +84,8 @@
   LivenessState Liveness;
   SharedState State;
   std::map<InstanceId, Instance> Instances;
-  std::unique_ptr<WatchLoop<Instance>> InstanceLoop;
-  std::map<std::string, std::unique_ptr<WatchLoop<Object>>> ObjectLoops;
+  std::unique_ptr<WatchLoop<InstanceList>> InstanceLoop;
+  std::map<std::string, std::unique_ptr<WatchLoop<ObjectList>>> ObjectLoops;
   std::set<std::string> CompleteKinds; // read whole since the watch began
   std::vector<SharedItem> FirstItems;  // read before all kinds were complete
   std::uint64_t ZonesVersion = 0;
--- a/include/samphirehill/Daemon/WatchLoop.h
+++ b/include/samphirehill/Daemon/WatchLoop.h
@@ -17,13 +17,14 @@
 constexpr Duration FirstWatchPause = milliseconds(200);
 constexpr Duration MaxWatchPause = seconds(2);
 
-template <typename T> class WatchLoop {
+// List is ObjectList or InstanceList.
+template <typename List> class WatchLoop {
 public:
-  using Callback = Platform::Callback<ItemList<T>>;
+  using Callback = Platform::Callback<List>;
   struct Calls {
-    std::function<CallId(Callback)> List;
+    std::function<CallId(Callback)> Read;
     std::function<CallId(std::uint64_t After, Duration Wait, Callback)> Watch;
-    std::function<void(const ItemList<T> &)> OnItems;
+    std::function<void(const List &)> OnItems;
     // The platform has begun to answer, or has ceased to.
     std::function<void(bool)> OnReachable;
   };
@@ -55,12 +56,12 @@
 
 private:
   void next() {
-    auto OnDone = [this](Outcome<ItemList<T>> Value) { receive(Value); };
+    auto OnDone = [this](Outcome<List> Value) { receive(Value); };
     Call = Revision ? Functions.Watch(*Revision, WatchWait, OnDone)
-                    : Functions.List(OnDone);
+                    : Functions.Read(OnDone);
   }
 
-  void receive(const Outcome<ItemList<T>> &Value) {
+  void receive(const Outcome<List> &Value) {
     Call.reset();
     if (errorOf(Value)) {
       Functions.OnReachable(false);
@@ -75,7 +76,7 @@
       return;
     }
     Wait = Duration::zero();
-    const ItemList<T> &Items = std::get<0>(Value);
+    const List &Items = std::get<0>(Value);
     Revision = Items.Revision;
     Functions.OnReachable(true);
     Functions.OnItems(Items);
--- a/include/samphirehill/Groups/Fleet.h
+++ b/include/samphirehill/Groups/Fleet.h
@@ -4,6 +4,7 @@
 #define SAMPHIREHILL_GROUPS_FLEET_H
 
 #include "samphirehill/Core/Ids.h"
+#include "samphirehill/Core/Instance.h"
 #include "samphirehill/Core/Result.h"
 #include "samphirehill/Core/Time.h"
 
@@ -15,22 +16,6 @@
 
 namespace samphirehill {
 
-enum class InstanceRole { Entry, Engine, Service };
-enum class InstanceState { Live, Leaving };
-
-// A row of the platform's instance list.
-struct Instance {
-  InstanceId Name;
-  ZoneId Zone;
-  DomainId FabricDomain;
-  InstanceRole Role = InstanceRole::Engine;
-  std::string Address; // "<IP>:<port>"
-  int Accelerators = 0;
-  InstanceState State = InstanceState::Live;
-
-  bool operator==(const Instance &) const = default;
-};
-
 // Parses one item of GET /instances. Fails with BadAnswer.
 Result<Instance> parseInstance(const nlohmann::json &Item);
 
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -41,9 +41,9 @@
   Hub.Received.connect([this](const auto &Message) { receive(Message); });
   handleState();
   connectPeers();
-  InstanceLoop = std::make_unique<WatchLoop<Instance>>(
+  InstanceLoop = std::make_unique<WatchLoop<InstanceList>>(
       Shared, Store,
-      WatchLoop<Instance>::Calls{
+      WatchLoop<InstanceList>::Calls{
           [this](auto Done) { return Store.listInstances(Done); },
           [this](auto After, auto Wait, auto Done) {
             return Store.watchInstances(After, Wait, Done);
@@ -52,9 +52,9 @@
           [this](bool Value) { noteReachable(Value); }});
   InstanceLoop->start();
   for (const char *Kind : ObjectKinds)
-    ObjectLoops[Kind] = std::make_unique<WatchLoop<Object>>(
+    ObjectLoops[Kind] = std::make_unique<WatchLoop<ObjectList>>(
         Shared, Store,
-        WatchLoop<Object>::Calls{
+        WatchLoop<ObjectList>::Calls{
             [this, Kind](auto Done) { return Store.listObjects(Kind, Done); },
             [this, Kind](auto After, auto Wait, auto Done) {
               return Store.watchObjects(Kind, After, Wait, Done);
@@ -100,19 +100,18 @@
 void MembershipController::takeInstances(const InstanceList &List) {
   if (List.Complete)
     Instances.clear();
-  else if (List.Items.empty())
+  else if (List.Items.empty() && List.Deleted.empty())
     return;
-  for (const Instance &Each : List.Items) {
-    if (Each.Deleted)
-      Instances.erase(Each.Id);
-    else
-      Instances[Each.Id] = Each;
-  }
+  for (const Instance &Each : List.Items)
+    Instances[Each.Name] = Each;
+  for (const InstanceId &Name : List.Deleted)
+    Instances.erase(Name);
   InstanceListRead Read;
   Read.Revision = List.Revision;
-  for (const auto &[Id, Each] : Instances)
+  for (const auto &[Name, Each] : Instances)
     if (Each.Role == InstanceRole::Entry)
-      Read.Entries.push_back(Member{EntryId(Id.str()), Each.Zone, Each.Address,
+      Read.Entries.push_back(Member{EntryId(Name.str()), Each.Zone,
+                                    Each.Address,
                                     Each.State == InstanceState::Leaving});
   carryOut(
       decide(Liveness, LivenessEvent(std::move(Read)), Shared.Timers.now()));
@@ -124,13 +123,8 @@
   PlatformRead Read;
   for (const Object &Each : List.Items) {
     if (Kind != ZonesKind) {
-      if (!Each.Deleted)
-        Read.Items.push_back(
-            SharedItem{{Kind, Each.Key.Name}, {Each.Version, ""}, Each.Value});
-      continue;
-    }
-    if (Each.Deleted) {
-      ZonesObjectDeleted.emit();
+      Read.Items.push_back(
+          SharedItem{{Kind, Each.Key.Name}, {Each.Version, ""}, Each.Value});
       continue;
     }
     Outcome<std::vector<SharedItem>> Items =
@@ -144,6 +138,12 @@
       Read.Items.push_back(std::move(Item));
     Read.ZonesObject = Each.Version;
   }
+  // A complete list without the object shows a deletion if it was seen before.
+  bool Missing = List.Complete && !Read.ZonesObject && ZonesVersion > 0;
+  if (Kind == ZonesKind && (Missing || !List.Deleted.empty()))
+    ZonesObjectDeleted.emit();
+  if (Read.ZonesObject)
+    ZonesVersion = *Read.ZonesObject;
   if (List.Complete)
     CompleteKinds.insert(Kind);
   Read.Complete = CompleteKinds.size() == std::size(ObjectKinds);
