--- a/tools/standin-engine/EngineStreams.cpp
+++ b/tools/standin-engine/EngineStreams.cpp
@@ -69,7 +69,7 @@
   if (RequestedBoot != Boot)
     return Json{{"error", "boot-id"}};
   bool Ready = phase() == Phase::Cold || phase() == Phase::Warm;
-  if (!Ready || Assigned.Rank != 0 || !groupWhole())
+  if (!Ready || Assigned.Group.empty() || Assigned.Rank != 0 || !groupWhole())
     return Json{{"error", "group"}};
   if (Model != Assigned.Model || Version != Assigned.Version)
     return Json{{"error", "model"}};
