--- a/include/samphirehill/Daemon/Dispatcher.h
+++ b/include/samphirehill/Daemon/Dispatcher.h
@@ -6,7 +6,7 @@
 
 #include "samphirehill/Daemon/CreditController.h"
 #include "samphirehill/Daemon/Runtime.h"
-#include "samphirehill/Daemon/UpstreamTable.h"
+#include "samphirehill/Daemon/UpstreamDirectory.h"
 #include "samphirehill/Limits/Admission.h"
 
 #include <functional>
@@ -43,7 +43,8 @@
 
 class Dispatcher {
 public:
-  Dispatcher(Runtime &Shared, CreditController &Credits, UpstreamTable &Table);
+  Dispatcher(Runtime &Shared, CreditController &Credits,
+             UpstreamDirectory &Directory);
 
   // Queues Added; Done is called exactly once, possibly at once, unless the
   // request is cancelled.
@@ -80,6 +81,9 @@
   void pump(const ServiceId &Of);
   bool dispatchOne(const ServiceId &Of, ServiceQueue &Line);
   bool tryGrant(const RequestId &Request);
+  std::optional<Credit> takeAny(const DispatchRequest &Asked,
+                                const UpstreamQuery &Query);
+  void syncCredits(const UpstreamId &Name);
   bool anyCredit(const ServiceId &Of) const;
   void refuse(const std::vector<AdmissionRefusal> &Refusals,
               const ServiceId &Of);
@@ -93,7 +97,7 @@
 
   Runtime &Shared;
   CreditController &Credits;
-  UpstreamTable &Table;
+  UpstreamDirectory &Directory;
   std::map<ServiceId, ServiceQueue> Queues;
   std::map<RequestId, Waiting> ByRequest;
   std::map<UpstreamId, CreditCount> Wanted;
--- a/include/samphirehill/Daemon/ModelCall.h
+++ b/include/samphirehill/Daemon/ModelCall.h
@@ -27,7 +27,7 @@
   CreditController &Credits;
   CrashController &Crashes;
   UpstreamCalls &Calls;
-  UpstreamTable &Table;
+  UpstreamDirectory &Directory;
   RetryBudgets &Retries;
   RunEstimates &Runs;
 };
@@ -77,7 +77,7 @@
   bool Started = false;    // headers went to the caller
   bool Finished = false;
   std::set<UpstreamId> Excluded;
-  std::string Version; // of the model that produced the first token
+  std::vector<PrefixHash> Prompt; // prefix hashes, for routing
   TimerSubscription Backoff;
   TimerSubscription DeadlineTimer;
   TimePoint SentAt{};
--- a/include/samphirehill/Daemon/UpstreamCalls.h
+++ b/include/samphirehill/Daemon/UpstreamCalls.h
@@ -18,9 +18,9 @@
 public:
   UpstreamCalls(Runtime &Shared, Dispatcher &Dispatch,
                 CreditController &Credits, CrashController &Crashes,
-                UpstreamTable &Table)
+                UpstreamDirectory &Directory)
       : Shared(Shared), Dispatch(Dispatch), Credits(Credits), Crashes(Crashes),
-        Table(Table) {}
+        Directory(Directory) {}
 
   // Finds out whether the upstream of a call whose connection broke has
   // crashed, and reports a crash. Calls of one process share one check. Then is
@@ -54,7 +54,7 @@
   Dispatcher &Dispatch;
   CreditController &Credits;
   CrashController &Crashes;
-  UpstreamTable &Table;
+  UpstreamDirectory &Directory;
   std::map<CrashId, std::vector<std::function<void(bool)>>> Judging;
   std::map<RequestId, Call> Abandoned;
 };
--- a/lib/Daemon/Dispatcher.cpp
+++ b/lib/Daemon/Dispatcher.cpp
@@ -10,6 +10,8 @@
 // A waiting request asks this many upstreams for a credit, so that one whose
 // limit is reached does not hold it up.
 constexpr std::size_t AskedUpstreams = 2;
+// Choices of the router that are tried before any upstream with a credit.
+constexpr std::size_t TriedFirst = 2;
 // After this time without a credit a request asks other upstreams.
 constexpr Duration AskAgain = milliseconds(100);
 constexpr Duration TickPeriod = milliseconds(25);
@@ -26,12 +28,12 @@
 } // namespace
 
 Dispatcher::Dispatcher(Runtime &Shared, CreditController &Credits,
-                       UpstreamTable &Table)
-    : Shared(Shared), Credits(Credits), Table(Table) {
+                       UpstreamDirectory &Directory)
+    : Shared(Shared), Credits(Credits), Directory(Directory) {
   Credits.Available.connect([this](const UpstreamId &Name) {
-    auto Found = this->Table.ByName.find(Name);
-    if (Found != this->Table.ByName.end())
-      pump(Found->second.Of);
+    syncCredits(Name);
+    if (const DirectoryEntry *Found = this->Directory.find(Name))
+      pump(Found->Status.Info.Service);
   });
   Tick = Shared.Timers.every(TickPeriod, [this] { tick(); });
 }
@@ -65,12 +67,11 @@
 }
 
 void Dispatcher::finish(const Grant &Ended, std::int64_t Tokens) {
-  auto Found = Table.ByName.find(Ended.Upstream);
-  if (Found != Table.ByName.end())
-    --Found->second.OwnRunning;
+  Directory.noteEnd(Ended.Upstream, Shared.Timers.now());
   if (Tokens > 0)
     recordServed(Queues[Ended.Of].Queue, Tokens, Shared.Timers.now());
   Credits.finish(Ended.Held);
+  syncCredits(Ended.Upstream);
   asio::post(Shared.Context, [this, Of = Ended.Of] { pump(Of); });
 }
 
@@ -111,28 +112,50 @@
   if (Asked.NotBefore > Shared.Timers.now())
     return false;
   UpstreamQuery Query = Asked.Query;
-  Query.Random = Shared.random();
-  for (const UpstreamId &Name :
-       chooseUpstreams(Table, Query, Table.ByName.size())) {
+  Query.Random = Shared.Generator();
+  Query.Now = Shared.Timers.now();
+  std::optional<Credit> Held = takeAny(Asked, Query);
+  if (!Held)
+    return false;
+  const UpstreamStatus &Chosen = Directory.find(Held->Upstream)->Status;
+  Directory.noteSend(Held->Upstream, Query.Now);
+  syncCredits(Held->Upstream);
+  end(Request, Grant{Held->Upstream, Chosen.Address, Chosen.Info.Service,
+                     Chosen.Info.Version, *Held});
+  return true;
+}
+
+std::optional<Credit> Dispatcher::takeAny(const DispatchRequest &Asked,
+                                          const UpstreamQuery &Query) {
+  for (const UpstreamId &Name : Directory.chooseSeveral(Query, TriedFirst)) {
     if (!Credits.hasIdle(Name, Asked.Suspect))
       continue;
-    std::optional<Credit> Held = Credits.take(Name, Asked.Suspect);
-    if (!Held)
+    if (std::optional<Credit> Held = Credits.take(Name, Asked.Suspect))
+      return Held;
+  }
+  for (const UpstreamId &Name : Directory.serving(Query.Of)) {
+    const UpstreamStatus &Status = Directory.find(Name)->Status;
+    bool HasAdapter = Query.Adapter.empty() ||
+                      std::ranges::find(Status.Info.Adapters, Query.Adapter) !=
+                          Status.Info.Adapters.end();
+    if (Query.Excluded.contains(Name) || !HasAdapter ||
+        Status.Info.Version != Query.Version ||
+        !Credits.hasIdle(Name, Asked.Suspect))
       continue;
-    Upstream &Chosen = Table.ByName.at(Name);
-    ++Chosen.OwnRunning;
-    ++Chosen.OwnSinceReport;
-    end(Request, Grant{Name, Chosen.Address, Chosen.Of, Chosen.Version, *Held});
-    return true;
+    if (std::optional<Credit> Held = Credits.take(Name, Asked.Suspect))
+      return Held;
   }
-  return false;
+  return std::nullopt;
+}
+
+void Dispatcher::syncCredits(const UpstreamId &Name) {
+  Directory.setCredits(Name, Credits.idle(Name));
 }
 
 bool Dispatcher::anyCredit(const ServiceId &Of) const {
-  for (const auto &[Name, Candidate] : Table.ByName)
-    if (Candidate.Of == Of && Candidate.Serving && Credits.idle(Name) > 0)
-      return true;
-  return false;
+  return std::ranges::any_of(
+      Directory.serving(Of),
+      [this](const UpstreamId &Name) { return Credits.idle(Name) > 0; });
 }
 
 void Dispatcher::refuse(const std::vector<AdmissionRefusal> &Refusals,
@@ -141,13 +164,8 @@
     auto Found = ByRequest.find(Refused.Request);
     if (Found == ByRequest.end())
       continue;
-    bool Any = !chooseUpstreams(Table, Found->second.Asked.Query, 1).empty();
-    if (!Any) {
-      end(Refused.Request,
-          DispatchRefusal{
-              Error{ResultCode::NoUpstream,
-                    "no upstream of service \"" + Of.str() + "\" serves now"},
-              NoUpstreamRetry});
+    if (!Directory.any(Found->second.Asked.Query)) {
+      end(Refused.Request, noUpstream(Of));
       continue;
     }
     std::string Message = Refused.Code == ResultCode::DeadlineTooShort
@@ -178,9 +196,10 @@
 
 void Dispatcher::ask(Waiting &Asking) {
   UpstreamQuery Query = Asking.Asked.Query;
-  Query.Random = Shared.random();
+  Query.Random = Shared.Generator();
+  Query.Now = Shared.Timers.now();
   std::vector<UpstreamId> Chosen =
-      chooseUpstreams(Table, Query, AskedUpstreams);
+      Directory.chooseSeveral(Query, AskedUpstreams);
   Asking.WantedSince = Shared.Timers.now();
   if (!Chosen.empty())
     Asking.LastCandidate = Asking.WantedSince;
--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Daemon/ModelCall.h"
 
+#include "samphirehill/Core/Hash.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -36,6 +38,8 @@
 
 void ModelCall::start() {
   earnRetry(Parts.Retries, Request.Who.Who->Name, Request.Target->Name);
+  Prompt = prefixHashes(Request.Completion.Prompt,
+                        hashBytes(Request.Completion.Adapter));
   Request.Exchange->onClosed([Weak = weak_from_this()] {
     if (auto Self = Weak.lock())
       Self->callerGone();
@@ -65,7 +69,10 @@
   Asked.Admission.Deadline = Request.Deadline;
   Asked.Query.Of = Request.Target->Name;
   Asked.Query.Here = Parts.Shared.Config.Zone;
-  Asked.Query.Version = Version;
+  // A resumed stream needs the version that began it.
+  Asked.Query.Version = Request.Target->Version;
+  Asked.Query.Prompt = Prompt;
+  Asked.Query.Now = Parts.Shared.Timers.now();
   Asked.Query.Adapter = Request.Completion.Adapter;
   Asked.Query.Excluded = Excluded;
   Asked.Suspect = Request.Suspect;
@@ -76,7 +83,7 @@
 void ModelCall::submit() {
   Attempt = Parts.Shared.nextRequestId();
   DispatchRequest Asked = dispatchRequest();
-  if (chooseUpstreams(Parts.Table, Asked.Query, 1).empty())
+  if (!Parts.Directory.any(Asked.Query))
     Asked.Query.Excluded.clear();
   Parts.Dispatch.submit(std::move(Asked),
                         [Self = shared_from_this()](DispatchResult Result) {
@@ -227,7 +234,6 @@
   TimePoint Now = Parts.Shared.Timers.now();
   if (!Started) {
     startAnswer();
-    Version = Current->Version;
     Parts.Shared.Counters.observe("first_token_seconds",
                                   toSeconds(Now - Request.Arrived));
   } else {
--- a/lib/Daemon/PlainCall.cpp
+++ b/lib/Daemon/PlainCall.cpp
@@ -64,7 +64,8 @@
   Asked.Query.Of = Request.Of;
   Asked.Query.Here = Parts.Shared.Config.Zone;
   Asked.Query.Excluded = Excluded;
-  if (chooseUpstreams(Parts.Table, Asked.Query, 1).empty())
+  Asked.Query.Now = Parts.Shared.Timers.now();
+  if (!Parts.Directory.any(Asked.Query))
     Asked.Query.Excluded.clear();
   Asked.Suspect = Request.Suspect;
   Asked.NotBefore = Request.NotBefore;
--- a/lib/Daemon/UpstreamCalls.cpp
+++ b/lib/Daemon/UpstreamCalls.cpp
@@ -45,9 +45,7 @@
   Waiting.push_back(std::move(Then));
   if (Waiting.size() > 1)
     return;
-  if (auto Found = Table.ByName.find(Broken.Upstream);
-      Found != Table.ByName.end())
-    Found->second.Doubtful = true;
+  Directory.setDoubtful(Broken.Upstream, true);
   HttpRequest Request;
   Request.Url = "http://" + Broken.Address + "/status";
   Request.Timeout = CallTimeout;
@@ -61,13 +59,11 @@
 void UpstreamCalls::judged(const CrashId &Where, const Grant &Broken,
                            bool Crashed) {
   DomainId Domain;
-  if (auto Found = Table.ByName.find(Broken.Upstream);
-      Found != Table.ByName.end()) {
-    Found->second.Doubtful = false;
-    Domain = Found->second.Domain;
-    if (Crashed && Found->second.Boot == Where.Boot)
-      Found->second.Serving = false;
-  }
+  if (const DirectoryEntry *Found = Directory.find(Broken.Upstream))
+    Domain = Found->Status.Domain;
+  if (Crashed)
+    Directory.setCrashed(Broken.Upstream, Where.Boot);
+  Directory.setDoubtful(Broken.Upstream, false);
   if (Crashed) {
     Credits.seeCold(Broken.Held,
                     ColdEvidence{ColdCause::ConnectionReset, BootId()});
