--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -11,6 +11,7 @@
 #include "samphirehill/Membership/SharedState.h"
 #include "samphirehill/Net/Platform.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,6 +20,10 @@
 
 namespace samphirehill {
 
+namespace peer {
+class Summary;
+} // namespace peer
+
 class MembershipController {
 public:
   MembershipController(Runtime &Shared, PeerHub &Hub, Platform &Store);
@@ -33,6 +38,8 @@
   // Emitted when all incarnations of an entry up to one are confirmed gone.
   Signal<ConfirmedGone> EntryGone;
   Signal<> HealthsChanged;
+  // Adds the zone's upstreams to a summary that is about to be sent.
+  std::function<void(peer::Summary &)> AddToSummary;
   // Emitted when zones/state was seen deleted: the close is complete.
   Signal<> ZonesObjectDeleted;
 
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -294,6 +294,8 @@
   Summary.set_close_acknowledged(zoneCloseAcknowledged());
   Summary.set_digest(State.Digest);
   addNotes(*Summary.mutable_versions(), Notes);
+  if (AddToSummary)
+    AddToSummary(Summary);
   Hub.send(To, std::move(Envelope));
 }
 
--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -38,8 +38,9 @@
 
 void ModelCall::start() {
   earnRetry(Parts.Retries, Request.Who.Who->Name, Request.Target->Name);
+  const std::string &Adapter = Request.Completion.Adapter;
   Prompt = prefixHashes(Request.Completion.Prompt,
-                        hashBytes(Request.Completion.Adapter));
+                        Adapter.empty() ? 0 : hashBytes(Adapter));
   Request.Exchange->onClosed([Weak = weak_from_this()] {
     if (auto Self = Weak.lock())
       Self->callerGone();
