Return contended credits after each call

A borrower with steady work reused its credit for ever, so that with a limit below the number of entries the others got none.

--- a/include/samphirehill/Limits/CreditHome.h
+++ b/include/samphirehill/Limits/CreditHome.h
@@ -62,6 +62,7 @@
   TimePoint LastHalving{}; // by overload
   bool Stopped = false;    // lends no more
   bool ReserveOn = false;
+  bool Contended = false;
   // Sequence of the last grant to any borrower. An entry that restarted may
   // have received a grant meant for its earlier incarnation, so that sequences
   // must go on rising over accounts.
--- a/include/samphirehill/Limits/CreditTypes.h
+++ b/include/samphirehill/Limits/CreditTypes.h
@@ -94,7 +94,8 @@
   std::uint64_t AckedReport = 0; // highest report sequence seen
   bool NeedsAck = false;         // the borrower must answer with a report
   CreditCount Granted;
-  bool Reserve = false; // keep one idle credit
+  bool Reserve = false;   // keep one idle credit
+  bool Contended = false; // another borrower waits and holds no credit
 
   bool operator==(const CreditGrant &) const = default;
 };
--- a/include/samphirehill/Limits/CreditWallet.h
+++ b/include/samphirehill/Limits/CreditWallet.h
@@ -36,6 +36,9 @@
   CreditGeneration Generation;
   BootId Boot;
   bool Reserve = false;
+  // Another entry waits and holds nothing, so that a credit goes back after
+  // each call instead of being used again here.
+  bool Contended = false;
   CreditCount Carried;
   CreditCount Received;
   CreditCount Returned;
--- a/lib/Limits/CreditWallet.cpp
+++ b/lib/Limits/CreditWallet.cpp
@@ -108,10 +108,14 @@
   Held.Boot = Grant.Boot;
   Held.Reserve = Grant.Reserve && !Wallet.Leaving;
   Held.Idle = Held.Idle + Added;
-  bool Refused = (Held.Cold || Wallet.Leaving) && Held.Idle.total() > 0;
-  if (Refused)
-    returnIdle(Held, Held.Idle);
-  return Refused;
+  Held.Contended = Grant.Contended;
+  CreditCount Back;
+  if (Held.Cold || Wallet.Leaving)
+    Back = Held.Idle;
+  else if (Held.Contended && Held.Wanted.total() == 0)
+    Back = returnable(Held, Held.Idle);
+  returnIdle(Held, Back);
+  return Back.total() > 0;
 }
 
 } // namespace
@@ -152,7 +156,7 @@
   CreditCount Count = one(Finished.Suspect);
   Held.InUse = Held.InUse - Count;
   bool Reusable = Finished.Generation == Held.Generation && !Held.Cold &&
-                  !Wallet.Leaving && !Finished.Suspect;
+                  !Wallet.Leaving && !Finished.Suspect && !Held.Contended;
   if (Reusable) {
     Held.Idle = Held.Idle + Count;
     if (Held.Wanted.Normal > 0)
@@ -183,8 +187,8 @@
   if (Grant.To != Wallet.Self || Grant.ToIncarnation > Wallet.SelfIncarnation)
     return Actions;
   CreditHolding &Held = Wallet.Holdings[Grant.Upstream];
-  bool ToEarlier = Grant.ToIncarnation != 0 &&
-                   Grant.ToIncarnation < Wallet.SelfIncarnation;
+  bool ToEarlier =
+      Grant.ToIncarnation != 0 && Grant.ToIncarnation < Wallet.SelfIncarnation;
   // The home learns of this incarnation by the report of setHome.
   if (ToEarlier && Held.Home.empty())
     return setHome(Wallet, Grant.Upstream, Grant.From, Now);
--- a/test/Limits/CreditSimulation.cpp
+++ b/test/Limits/CreditSimulation.cpp
@@ -256,7 +256,8 @@
       if (At + SimulatedMaxDeadline > Now)
         Opening.Past.push_back({Gone, 0, At, true});
     if (!Stored.Released)
-      Opening.Past.push_back({Entries[Stored.Home].Id, Stored.Number, Now, true});
+      Opening.Past.push_back(
+          {Entries[Stored.Home].Id, Stored.Number, Now, true});
     Opening.PastIsComplete = Now - Each.StartedAt >= SimulatedMaxDeadline;
     Stored = Placement{Index, Each.Number, Opening.Epoch, false};
     ++Result.HomesOpened;
@@ -268,8 +269,8 @@
     const Entry &Old = Entries[Stored.Home];
     bool Confirmed = Each.SeenGone.contains(Old.Id) ||
                      (Old.Alive && Old.Number > Stored.Number);
-    bool HasHome = std::any_of(
-        Entries.begin(), Entries.end(), [&](const Entry &Other) {
+    bool HasHome =
+        std::any_of(Entries.begin(), Entries.end(), [&](const Entry &Other) {
           return Other.Side == Each.Side && Other.Alive && isHome(Other);
         });
     bool Suspected = Options.TakeOverOnSuspicion && !HasHome;
@@ -376,8 +377,8 @@
                        std::to_string(NextRequest++);
       bool Long = !Healed && chance(30);
       TimePoint Arrives = Now + milliseconds(pick(0, 200));
-      TimePoint Ends = Arrives + milliseconds(Long ? pick(2000, 9000)
-                                                   : pick(50, 1500));
+      TimePoint Ends =
+          Arrives + milliseconds(Long ? pick(2000, 9000) : pick(50, 1500));
       Each.Calls.push_back({*Used, RequestId(Id), Arrives, Ends});
       Arriving.push_back(Each.Calls.back());
     }
@@ -450,8 +451,8 @@
       Oldest = std::min(Oldest, Each.Used.Generation);
       Suspects += Each.Used.Suspect ? 1 : 0;
     }
-    int Limit = Started.Used.Generation == Newest ? CurrentLimit
-                                                  : highestSince(Oldest);
+    int Limit =
+        Started.Used.Generation == Newest ? CurrentLimit : highestSince(Oldest);
     if (static_cast<int>(Running.size()) > Limit)
       violate("running " + std::to_string(Running.size()) + " above limit " +
               std::to_string(Limit));
@@ -498,7 +499,7 @@
     int Counted = outstandingCredits(Found->second).total();
     if (Counted != Held)
       lose("home counts " + std::to_string(Counted) + " credits, " +
-              std::to_string(Held) + " are held");
+           std::to_string(Held) + " are held");
   }
 
   void run() {
--- a/test/Limits/CreditSimulation.h
+++ b/test/Limits/CreditSimulation.h
@@ -31,8 +31,8 @@
 };
 
 // Runs one history. Each number chooses one fault or event and its details.
-// After the last one all faults are healed; it is a loss if credits are gone for
-// good or an entry can't get one.
+// After the last one all faults are healed; it is a loss if credits are gone
+// for good or an entry can't get one.
 HistoryResult runHistory(const std::vector<std::uint32_t> &Steps,
                          const HistoryOptions &Options);
 
--- a/test/Limits/CreditsTest.cpp
+++ b/test/Limits/CreditsTest.cpp
@@ -30,8 +30,7 @@
   int Homes = 0;
   int Reboots = 0;
   for (int Seed = 1; Seed <= HistoriesPerCase; ++Seed) {
-    HistoryResult Result =
-        runHistory(randomSteps(Seed, HistorySteps), Options);
+    HistoryResult Result = runHistory(randomSteps(Seed, HistorySteps), Options);
     ASSERT_EQ(Result.Violation, "") << "seed " << Seed;
     ASSERT_EQ(Result.Loss, "") << "seed " << Seed;
     Calls += Result.CallsRun;
@@ -46,14 +45,15 @@
   EXPECT_GT(Reboots, HistoriesPerCase);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Limits, CreditsHistoryTest,
-    testing::Values(LimitCase{"OneCredit", 4, 1, 1},
-                    LimitCase{"FewerThanEntries", 5, 1, 3},
-                    LimitCase{"OneEach", 4, 1, 4},
-                    LimitCase{"Ramped", 4, 2, 9},
-                    LimitCase{"Large", 5, 4, 24}),
-    [](const auto &Info) { return std::string(Info.param.Name); });
+INSTANTIATE_TEST_SUITE_P(Limits, CreditsHistoryTest,
+                         testing::Values(LimitCase{"OneCredit", 4, 1, 1},
+                                         LimitCase{"FewerThanEntries", 5, 1, 3},
+                                         LimitCase{"OneEach", 4, 1, 4},
+                                         LimitCase{"Ramped", 4, 2, 9},
+                                         LimitCase{"Large", 5, 4, 24}),
+                         [](const auto &Info) {
+                           return std::string(Info.param.Name);
+                         });
 
 // The same property on generated histories, which RapidCheck can shrink.
 RC_GTEST_PROP(CreditsPropertyTest, KeepsLimitInGeneratedHistories, ()) {
@@ -90,8 +90,7 @@
   }
   std::string Violation;
   for (int Seed = 1; Violation.empty() && Seed <= 100; ++Seed)
-    Violation =
-        runHistory(randomSteps(Seed, HistorySteps), Options).Violation;
+    Violation = runHistory(randomSteps(Seed, HistorySteps), Options).Violation;
   EXPECT_NE(Violation, "");
   RecordProperty("violation", Violation);
 }
