Judge crash suspects by when a request started

A request that crashed two upstreams of one fabric domain within 1 s passed as part of a domain fault, was cleared, and crashed two more. Broadcasts now carry for how long each request had run; a domain fault doesn't excuse a request that started on the second upstream after the first had crashed. Adds the tests of crash suspects and of the retry budget.

--- a/include/samphirehill/Limits/CrashSuspects.h
+++ b/include/samphirehill/Limits/CrashSuspects.h
@@ -5,7 +5,9 @@
 //
 // A suspect waits until its crash is older than the domain window before it is
 // tried again. A crash that the suspect then causes can't be mistaken for part
-// of a domain fault.
+// of a domain fault. An entry that hasn't heard of the crash may start the
+// request earlier; a domain fault therefore doesn't excuse a request that
+// started on the second upstream after the first had crashed.
 #ifndef SAMPHIREHILL_LIMITS_CRASHSUSPECTS_H
 #define SAMPHIREHILL_LIMITS_CRASHSUSPECTS_H
 
@@ -36,13 +38,21 @@
   auto operator<=>(const CrashId &) const = default;
 };
 
-// Broadcast by each entry that had requests in progress on a crashed upstream,
-// also when it had none, since the domain rule needs every crash.
+// A request in progress, and for how long it had run at the crash.
+struct InProgressRequest {
+  Fingerprint Request = 0;
+  Duration RunningFor{};
+};
+
+// Broadcast by each entry that sees a crash, also when it had no requests in
+// progress there, since the domain rule needs every crash. Send it before
+// answering the caller of any of these requests: a resend to another entry then
+// arrives after it.
 struct SuspectBroadcast {
   CrashId Crash;
   DomainId Domain; // empty: no domain rule
   Duration Age{};  // since the sender saw the crash
-  std::vector<Fingerprint> InProgress;
+  std::vector<InProgressRequest> InProgress;
 };
 
 // Switches that each remove one rule, for tests of the checks.
@@ -53,6 +63,8 @@
 
 struct CrashSettings {
   Duration DomainWindow = seconds(1);
+  // Instants taken from broadcasts are late by the time on the network.
+  Duration TimeTolerance = milliseconds(50);
   Duration Memory = std::chrono::minutes(10);
   // An ordinary day has 470 restarts and a zone about 55 upstreams.
   // The oldest crash is dropped when a bound is exceeded.
@@ -68,11 +80,17 @@
   std::vector<Fingerprint> InProgress;
 };
 
+// A request's part in one crash.
+struct CrashPresence {
+  CrashId Crash;
+  TimePoint StartedAt{}; // on the upstream that crashed
+};
+
 struct CrashSuspects {
   CrashSettings Settings;
   std::map<CrashId, KnownCrash> Crashes;
   std::multimap<TimePoint, CrashId> ByTime;
-  std::unordered_map<Fingerprint, std::vector<CrashId>> ByFingerprint;
+  std::unordered_map<Fingerprint, std::vector<CrashPresence>> ByFingerprint;
   std::size_t Stored = 0; // fingerprints over all crashes
 };
 
--- a/lib/Limits/CrashSuspects.cpp
+++ b/lib/Limits/CrashSuspects.cpp
@@ -12,8 +12,8 @@
   if (Found == Suspects.Crashes.end())
     return;
   for (Fingerprint Each : Found->second.InProgress) {
-    std::vector<CrashId> &Present = Suspects.ByFingerprint[Each];
-    std::erase(Present, Id);
+    std::vector<CrashPresence> &Present = Suspects.ByFingerprint[Each];
+    std::erase_if(Present, [&Id](const auto &P) { return P.Crash == Id; });
     if (Present.empty())
       Suspects.ByFingerprint.erase(Each);
   }
@@ -58,13 +58,14 @@
 
 void addFingerprints(CrashSuspects &Suspects, const CrashId &Id,
                      KnownCrash &Known,
-                     const std::vector<Fingerprint> &InProgress) {
-  for (Fingerprint Each : InProgress) {
-    std::vector<CrashId> &Present = Suspects.ByFingerprint[Each];
-    if (std::find(Present.begin(), Present.end(), Id) != Present.end())
+                     const std::vector<InProgressRequest> &InProgress) {
+  for (const InProgressRequest &Each : InProgress) {
+    std::vector<CrashPresence> &Present = Suspects.ByFingerprint[Each.Request];
+    if (std::any_of(Present.begin(), Present.end(),
+                    [&Id](const auto &P) { return P.Crash == Id; }))
       continue;
-    Present.push_back(Id);
-    Known.InProgress.push_back(Each);
+    Present.push_back({Id, Known.At - Each.RunningFor});
+    Known.InProgress.push_back(Each.Request);
     ++Suspects.Stored;
   }
 }
@@ -96,21 +97,37 @@
 
 CrashCheck checkCrashes(const CrashSuspects &Suspects, Fingerprint Request,
                         TimePoint Now) {
-  CrashCheck Check;
   auto Found = Suspects.ByFingerprint.find(Request);
   if (Found == Suspects.ByFingerprint.end())
-    return Check;
-  int Distinct = 0;
+    return {};
+  TimePoint First = TimePoint::max();
   TimePoint Latest{};
-  for (const CrashId &Id : Found->second) {
-    const KnownCrash &Known = Suspects.Crashes.at(Id);
-    if (Known.DomainFault || Known.At + Suspects.Settings.Memory <= Now)
+  for (const CrashPresence &Each : Found->second) {
+    TimePoint At = Suspects.Crashes.at(Each.Crash).At;
+    if (At + Suspects.Settings.Memory <= Now)
       continue;
-    ++Distinct;
-    Latest = std::max(Latest, Known.At);
+    First = std::min(First, At);
+    Latest = std::max(Latest, At);
+  }
+  int Distinct = 0;
+  bool Followed = false; // by one on which the request started later
+  bool FirstExcused = false;
+  for (const CrashPresence &Each : Found->second) {
+    const KnownCrash &Known = Suspects.Crashes.at(Each.Crash);
+    if (Known.At + Suspects.Settings.Memory <= Now)
+      continue;
+    bool Later = Known.At > First &&
+                 Each.StartedAt >= First - Suspects.Settings.TimeTolerance;
+    Followed |= Later;
+    if (!Known.DomainFault || Later)
+      ++Distinct;
+    else
+      FirstExcused |= Known.At == First;
   }
+  if (FirstExcused && Followed)
+    ++Distinct;
   if (Distinct == 0)
-    return Check;
+    return {};
   bool Refuses = Distinct > 1 && !Suspects.Settings.Faults.NeverRefuse;
   if (Refuses)
     return {CrashVerdict::Refuse, Latest + Suspects.Settings.Memory};
