Let organisations save up unused share in admission

With plain fair queueing an organisation that sends a few requests at once took turns with one that always waits.

--- a/include/samphirehill/Limits/Admission.h
+++ b/include/samphirehill/Limits/Admission.h
@@ -57,6 +57,11 @@
   std::size_t MaxQueued = 4096; // requests over all classes
   int NormalEvery = 5;          // at least each 5th dispatch is normal or low
   int LowEvery = 20;            // at least each 20th dispatch is low
+  // Unused share that an organisation may save up. Without it, one that sends a
+  // few requests at once takes turns with one that always waits: in simulation
+  // at 90% load the p99 wait of the others then rose from 1.0 to 1.9 s. With
+  // 4,096 the p99 wait at 95% load is twice as long when nobody is greedy.
+  std::int64_t SavedTokens = 1024;
   Duration RateWindow = seconds(1);
   double RateWeight = 0.3; // of the newest window
   AdmissionFaults Faults;
--- a/lib/Limits/Admission.cpp
+++ b/lib/Limits/Admission.cpp
@@ -29,12 +29,12 @@
   return Duration(static_cast<std::int64_t>(Seconds * 1e6));
 }
 
-// Forgets organisations that don't wait and whose last dispatch is no longer
-// ahead of the virtual time; a newcomer would start at the same place.
-void forgetIdle(ClassQueue &Class) {
-  std::erase_if(Class.Organisations, [&Class](const auto &Entry) {
+// Forgets organisations that don't wait and that would start at the same place
+// as a newcomer.
+void forgetIdle(ClassQueue &Class, std::int64_t SavedTokens) {
+  std::erase_if(Class.Organisations, [&](const auto &Entry) {
     return Entry.second.Waiting.empty() &&
-           Entry.second.Finish <= Class.VirtualTime;
+           Entry.second.Finish <= Class.VirtualTime - SavedTokens;
   });
 }
 
@@ -100,7 +100,8 @@
                            : Request.Organisation;
   OrganisationQueue &Organisation = Class.Organisations[Key];
   if (Organisation.Waiting.empty()) {
-    Organisation.Start = std::max(Class.VirtualTime, Organisation.Finish);
+    Organisation.Start = std::max(
+        Class.VirtualTime - Queue.Settings.SavedTokens, Organisation.Finish);
     Class.Order.insert({Organisation.Start, Key});
   }
   Organisation.Waiting.push_back(Request);
@@ -166,10 +167,10 @@
   OrganisationQueue &Organisation = Class.Organisations[Key];
   AdmissionRequest Next =
       removeAt(Queue, Class, Organisation, Organisation.Waiting.begin());
-  Class.VirtualTime = Start;
+  Class.VirtualTime = std::max(Class.VirtualTime, Start);
   Organisation.Finish = Start + costOf(Next);
   if (Organisation.Waiting.empty()) {
-    forgetIdle(Class);
+    forgetIdle(Class, Queue.Settings.SavedTokens);
   } else {
     Organisation.Start = Organisation.Finish;
     Class.Order.insert({Organisation.Start, Key});
