--- a/include/samphirehill/Groups/Orders.h
+++ b/include/samphirehill/Groups/Orders.h
@@ -92,7 +92,6 @@
   std::optional<Order> Last;
   TimePoint Since;      // start of the phase
   bool WasLost = false; // of Last, in phase Unsettled
-  bool WasRefused = false;
 };
 
 struct OrdersState {
--- a/lib/Groups/NewGroups.cpp
+++ b/lib/Groups/NewGroups.cpp
@@ -199,7 +199,7 @@
 void ZonePlanner::assignSpares() {
   std::vector<Kept *> Without;
   for (std::size_t I = 0; I < Groups.size(); ++I) {
-    if (Dropped[I])
+    if (Dropped[I] || Groups[I].IsDeferred)
       continue;
     Kept &Element = Groups[I];
     std::optional<InstanceId> &Spare = Element.Value.Spare;
--- a/lib/Groups/Orders.cpp
+++ b/lib/Groups/Orders.cpp
@@ -175,7 +175,6 @@
   }
   Engine.Last = makeOrder(State, Engine);
   Engine.WasLost = false;
-  Engine.WasRefused = false;
   enter(Engine, OrderPhase::Sent, Now);
   Out.emplace_back(SendOrder{Name, *Engine.Last});
 }
@@ -233,7 +232,6 @@
   Engine->Phase = OrderPhase::Unsettled;
   Engine->Since = Now;
   Engine->WasLost = false;
-  Engine->WasRefused = !Event.Accepted;
   if (!Event.Accepted && Event.Fence > Engine->Last->Fence)
     depose(State, Event.Fence, Out);
   Out.emplace_back(ReadStatus{Event.Engine});
--- a/lib/Groups/Planner.cpp
+++ b/lib/Groups/Planner.cpp
@@ -144,7 +144,7 @@
                   Value.Service.str(), " does not run in this zone"}));
       continue;
     }
-    Kept Element{Value, &Place->second, {}, false};
+    Kept Element{Value, &Place->second, {}};
     for (std::size_t Rank = 0; Rank < Value.Members.size(); ++Rank) {
       auto Member = Usable.find(Value.Members[Rank]);
       if (Member == Usable.end()) {
@@ -251,6 +251,8 @@
   // when a load has ended.
   if (NeedsLoad && !mayLoad(*Element.For)) {
     ++Deferred;
+    Element.IsDeferred = true;
+    Element.Value.Spare = Chosen.front();
     return true;
   }
   if (NeedsLoad)
@@ -288,13 +290,13 @@
   for (std::size_t I : Broken)
     if (!tryRepair(Groups[I]))
       Left.push_back(I);
-  dissolveForOthers(std::move(Left));
+  dissolveForOthers(Left);
 }
 
 // Broken groups that no free engine can repair, cheapest first: the members of
 // the dearest ones repair the cheapest ones of their domain; a group that fits
 // elsewhere as a whole is formed anew there.
-void ZonePlanner::dissolveForOthers(std::vector<std::size_t> Broken) {
+void ZonePlanner::dissolveForOthers(const std::vector<std::size_t> &Broken) {
   std::map<DomainId, std::vector<std::size_t>> ByDomain;
   for (std::size_t I : Broken) {
     // A slow member is no reason to lose a group that serves.
--- a/lib/Groups/Stragglers.cpp
+++ b/lib/Groups/Stragglers.cpp
@@ -14,7 +14,7 @@
 }
 
 int loadClass(int Running) {
-  return std::bit_width(static_cast<std::uint32_t>(Running));
+  return static_cast<int>(std::bit_width(static_cast<std::uint32_t>(Running)));
 }
 
 // Slow engines among Rates, by the median of all of them.
--- a/lib/Groups/ZonePlanner.h
+++ b/lib/Groups/ZonePlanner.h
@@ -36,6 +36,8 @@
   Demand *For = nullptr;
   std::vector<std::size_t> Missing; // ranks
   bool IsLoading = false;
+  // Its repair waits for a load to end; the spare is one of the new members.
+  bool IsDeferred = false;
 };
 
 class ZonePlanner {
@@ -64,7 +66,7 @@
   void release(const Kept &Element);
   void drop(std::size_t Index, std::string_view Why);
   bool tryRepair(Kept &Element);
-  void dissolveForOthers(std::vector<std::size_t> Broken);
+  void dissolveForOthers(const std::vector<std::size_t> &Broken);
   std::vector<Demand *> chooseByShare(FreePool &Pool);
   std::optional<Kept> place(Demand &For);
   void start(std::vector<Kept> Planned);
--- a/test/Groups/PlannerTest.cpp
+++ b/test/Groups/PlannerTest.cpp
@@ -2,13 +2,13 @@
 
 #include "Groups/Fleet.h"
 
-#include <algorithm>
-#include <functional>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
-#include <map>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 namespace samphirehill {
 namespace {
 
@@ -262,9 +262,26 @@
   EXPECT_EQ(plan(Input).Next.Homes.at(Name), (Home{Restarted, 2}));
 }
 
+// Returns the reasons of the last steps if planning on its own result doesn't
+// end, or "". A move or a dissolved group makes room that only the next step
+// uses, so a few steps are allowed.
+std::string unrest(PlannerInput Input) {
+  std::string Reasons;
+  for (int Step = 0; Step < 10; ++Step) {
+    Plan Result = plan(Input);
+    if (Result.Next == Input.Current)
+      return "";
+    Input.Current = std::move(Result.Next);
+    for (const std::string &Reason : Result.Reasons)
+      Reasons += Reason + "\n";
+  }
+  return "never rests:\n" + Reasons;
+}
+
 PlannerInput randomInput() {
   std::vector<Service> Services;
   int Count = *rc::gen::inRange(1, 4);
+  Services.reserve(4);
   for (int I = 0; I < Count; ++I)
     Services.push_back(modelService("s" + std::to_string(I),
                                     *rc::gen::inRange(1, 6),
@@ -283,7 +300,7 @@
     RC_ASSERT(brokenRule(Input, Result) == "");
     RC_ASSERT(plan(Input).Next == Result.Next);
     Input.Current = Result.Next;
-    RC_ASSERT(plan(Input).Next.Groups.size() == Input.Current.Groups.size());
+    RC_ASSERT(unrest(Input) == "");
     if (*rc::gen::arbitrary<bool>())
       settle(Input);
     auto Index = *rc::gen::inRange<std::size_t>(0, Input.Instances.size() + 1);
@@ -335,9 +352,9 @@
   int Engines = 0;
   int Excess = 0;
   for (int Case = 0; Case < 300; ++Case) {
-    std::vector<int> Domains;
-    for (int I = 0; I < 3; ++I)
-      Domains.push_back(1 + Next(8));
+    std::vector<int> Domains(3);
+    for (int &Size : Domains)
+      Size = 1 + Next(8);
     std::vector<Service> Services;
     std::vector<int> Sizes;
     std::vector<int> Limits;
--- a/test/Groups/StragglersTest.cpp
+++ b/test/Groups/StragglersTest.cpp
@@ -11,6 +11,7 @@
 
 std::vector<RateSample> samples(int Count, int Slow, double SlowRate) {
   std::vector<RateSample> List;
+  List.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     List.push_back({InstanceId("e" + std::to_string(10 + I)),
                     I < Slow ? SlowRate : 100.0, 8});
