Test owners that stop at each instant and callers that go away

Cause: random histories reach an instant between two given messages only by chance, and no history had a caller that goes away.

Change: a test pauses or kills the owner between any two messages and resends through every entry; the histories drop callers.

--- a/test/Idempotency/ShardHistoryTest.cpp
+++ b/test/Idempotency/ShardHistoryTest.cpp
@@ -40,6 +40,35 @@
     ASSERT_EQ(runHistory(Seed, ShardFault::None), "") << "seed " << Seed;
 }
 
+// Guards against an instant between any two messages at which a pause or the
+// end of the owner breaks a promise; resends come through every entry, before
+// and after the owner resumes.
+TEST(ShardHistoryTest, KeepsPromisesWhenOwnerStopsAtEachInstant) {
+  constexpr std::size_t Instants = 12; // a call takes 8 messages
+  for (std::size_t Instant = 0; Instant < Instants; ++Instant)
+    for (std::size_t Until = 0; Until < Instants; ++Until)
+      for (bool Killed : {false, true}) {
+        ShardWorld World(ShardFault::None);
+        World.request("k0", 0);
+        World.deliverOldest(Instant);
+        World.pause(0);
+        World.request("k0", 1);
+        World.deliverOldest(Until);
+        if (Killed)
+          World.restart(0);
+        World.resume(0);
+        for (std::size_t Entry : {2, 0, 1}) {
+          World.request("k0", Entry);
+          World.deliverOldest(1);
+        }
+        World.heal();
+        ASSERT_EQ(World.violation(), "")
+            << "stopped after " << Instant << ", resumed after " << Until
+            << ", killed " << Killed;
+        ASSERT_LE(World.executions(), 1u);
+      }
+}
+
 // Guards against a model in which nothing runs, so that no promise can break.
 TEST(ShardHistoryTest, RunsAndReplaysCallsInHistories) {
   std::size_t Executions = 0;
--- a/test/Idempotency/ShardWorld.h
+++ b/test/Idempotency/ShardWorld.h
@@ -32,6 +32,14 @@
 
   // Does one step that Choice determines.
   void act(std::uint32_t Choice);
+  // Sends a request for the only body of Key to Entry.
+  void request(const std::string &Key, std::size_t Entry);
+  // Delivers the oldest messages, at most Count, without faults.
+  void deliverOldest(std::size_t Count);
+  void pause(std::size_t Entry) { Entries[Entry].Paused = true; }
+  void resume(std::size_t Entry);
+  // Replaces the process of Entry.
+  void restart(std::size_t Entry);
   // Ends all faults and checks that every key can be used again.
   void heal();
   // Returns the first broken promise, or empty.
@@ -62,6 +70,7 @@
     bool MayBeResend = false;
     bool Denied = false; // was answered `not run`
     bool Done = false;
+    bool Gone = false;                         // its caller went away
     std::optional<CallOutcome> RecordedBefore; // at its arrival
     bool RanBefore = false;                    // key and body, at its arrival
     std::uint64_t SentBy = 0;
@@ -86,7 +95,6 @@
   void deliverRead(const Message &Item, std::uint32_t Fate);
   void deliverCall(const Message &Item, std::uint32_t Fate);
   void report(const Message &Item, ShardEvent Event);
-  void restart(std::size_t Entry);
   void advance(Duration By);
   void broken(std::string What) {
     if (Violation.empty())
