--- a/test/Idempotency/ShardWorld.cpp
+++ b/test/Idempotency/ShardWorld.cpp
@@ -271,16 +271,12 @@
 void ShardWorld::act(std::uint32_t Choice) {
   std::uint32_t Detail = Choice / 32;
   std::size_t Entry = Detail % EntryCount;
-  switch (Choice % 32) {
-  case 0:
-  case 1:
-  case 2:
-  case 3:
-  case 4:
+  std::uint32_t Kind = Choice % 32;
+  if (Kind < 5)
     return newRequest(Detail);
+  switch (Kind) {
   case 5:
-    Entries[Entry].Paused = true;
-    return;
+    return pause(Entry);
   case 6:
   case 7:
     return resume(Entry);
