--- a/include/samphirehill/Daemon/CrashController.h
+++ b/include/samphirehill/Daemon/CrashController.h
@@ -37,7 +37,11 @@
   PeerHub &Hub;
   std::function<std::vector<EntryId>()> Peers;
   CrashSuspects Suspects;
-  std::map<CrashId, std::map<RequestId, Fingerprint>> InProgress;
+  struct Running {
+    Fingerprint Print = 0;
+    TimePoint Since;
+  };
+  std::map<CrashId, std::map<RequestId, Running>> InProgress;
   std::set<CrashId> Told;
 };
 
--- a/lib/Daemon/CrashController.cpp
+++ b/lib/Daemon/CrashController.cpp
@@ -2,6 +2,7 @@
 
 #include "peer.pb.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace samphirehill {
@@ -21,7 +22,7 @@
 
 void CrashController::begin(const CrashId &Where, const RequestId &Request,
                             Fingerprint Print) {
-  InProgress[Where][Request] = Print;
+  InProgress[Where][Request] = Running{Print, Shared.Timers.now()};
 }
 
 void CrashController::end(const CrashId &Where, const RequestId &Request) {
@@ -39,8 +40,9 @@
   if (Told.size() > MaxTold)
     Told.erase(Told.begin());
   SuspectBroadcast Crash{Where, Domain, {}, {}};
-  for (const auto &[Request, Print] : InProgress[Where])
-    Crash.InProgress.push_back(Print);
+  TimePoint Now = Shared.Timers.now();
+  for (const auto &[Request, Each] : InProgress[Where])
+    Crash.InProgress.push_back({Each.Print, Now - Each.Since});
   InProgress.erase(Where);
   recordCrash(Suspects, Crash, Shared.Timers.now());
   Shared.record("upstream-crashed", Where.Upstream.str(),
@@ -52,19 +54,24 @@
   Message.set_upstream(Where.Upstream.str());
   Message.set_boot_id(Where.Boot.str());
   Message.set_domain(Domain.str());
-  for (Fingerprint Print : Crash.InProgress)
-    Message.add_fingerprints(Print);
+  for (const InProgressRequest &Each : Crash.InProgress) {
+    Message.add_fingerprints(Each.Request);
+    Message.add_running_for_us(Each.RunningFor.count());
+  }
   for (const EntryId &Peer : Peers())
     Hub.send(Peer, Envelope);
 }
 
 void CrashController::receive(const peer::Envelope &Envelope) {
   const peer::CrashSuspects &Message = Envelope.crash_suspects();
-  SuspectBroadcast Crash{
-      {UpstreamId(Message.upstream()), BootId(Message.boot_id())},
-      DomainId(Message.domain()),
-      Duration::zero(),
-      {Message.fingerprints().begin(), Message.fingerprints().end()}};
+  SuspectBroadcast Crash;
+  Crash.Crash = {UpstreamId(Message.upstream()), BootId(Message.boot_id())};
+  Crash.Domain = DomainId(Message.domain());
+  int Count =
+      std::min(Message.fingerprints_size(), Message.running_for_us_size());
+  for (int I = 0; I < Count; ++I)
+    Crash.InProgress.push_back(
+        {Message.fingerprints(I), Duration(Message.running_for_us(I))});
   recordCrash(Suspects, Crash, Shared.Timers.now());
 }
 
--- a/lib/Daemon/CreditMessages.cpp
+++ b/lib/Daemon/CreditMessages.cpp
@@ -59,6 +59,7 @@
   Message.set_needs_ack(Grant.NeedsAck);
   fill(*Message.mutable_granted(), Grant.Granted);
   Message.set_reserve(Grant.Reserve);
+  Message.set_contended(Grant.Contended);
   return Envelope;
 }
 
@@ -100,6 +101,7 @@
   Grant.NeedsAck = Message.needs_ack();
   Grant.Granted = fromMessage(Message.granted());
   Grant.Reserve = Message.reserve();
+  Grant.Contended = Message.contended();
   return Grant;
 }
 
