State what a not-run answer of a record shard covers

Cause: the header promised more than a decision at one entry can know.

Change: the promise names the calls that it covers, and the caller's duty to check the deadline before a call leaves the process.

--- a/include/samphirehill/Idempotency/RecordShard.h
+++ b/include/samphirehill/Idempotency/RecordShard.h
@@ -14,9 +14,11 @@
 //
 // Meaning of `not run`: the request that gets it has not been and will not be
 // sent. With any code but RecordStoreUnavailable it also holds for the key and
-// body: no call for them ran or may still run. With RecordStoreUnavailable it
-// holds for all calls that this process sent or has read of; it can't speak of
-// calls that another entry sent and that can't be read now. Set
+// body: no call for them that was recorded before the request arrived ran or
+// may still run. With RecordStoreUnavailable it holds for all calls that this
+// process sent or has read of; it can't speak of calls that another entry sent
+// and that can't be read now. A SendCall must still be dropped, and reported as
+// CallNotRun, if its deadline passes before it leaves the process. Set
 // CallArrived::MayBeResend when the system itself passes a request on a second
 // time; such a request gets `may have run` instead.
 #ifndef SAMPHIREHILL_IDEMPOTENCY_RECORDSHARD_H
