--- a/tools/standin-engine/Engine.cpp
+++ b/tools/standin-engine/Engine.cpp
@@ -115,7 +115,7 @@
     Sample.TokensPerSecond =
         static_cast<double>(Counts["tokens"] - TokensAtSample) / Seconds;
   TokensAtSample = Counts["tokens"];
-  Reported = std::move(Sample);
+  Reported = Sample;
 }
 
 void Engine::crash(const std::string &Reason) {
--- a/tools/standin-engine/Engine.h
+++ b/tools/standin-engine/Engine.h
@@ -69,7 +69,8 @@
                     const std::string &Adapter, const std::string &Prompt,
                     std::int64_t Index);
 
-// Serves the engine's interface; every method runs on Io.
+// Serves the engine's interface; every method runs on Io, whose handlers must
+// not run after the engine is destroyed.
 class Engine {
 public:
   Engine(asio::io_context &Io, EngineOptions Options);
--- a/tools/standin-engine/PrefixCache.cpp
+++ b/tools/standin-engine/PrefixCache.cpp
@@ -25,16 +25,19 @@
 
 std::size_t PrefixCache::touch(const std::vector<std::string> &Prefixes) {
   std::size_t Cached = 0;
-  for (const std::string &Prefix : Prefixes) {
-    auto Found = Blocks.find(Prefix);
-    if (Found == Blocks.end())
-      break;
-    Uses.splice(Uses.end(), Uses, Found->second.Use);
+  while (Cached < Prefixes.size() && contains(Prefixes[Cached]))
     ++Cached;
-  }
+  markUsed({Prefixes.begin(), Prefixes.begin() + static_cast<long>(Cached)});
   return Cached;
 }
 
+// A block is of use only with those before it, so shorter prefixes count as
+// used later and longer ones are evicted first.
+void PrefixCache::markUsed(const std::vector<std::string> &Prefixes) {
+  for (auto Prefix = Prefixes.rbegin(); Prefix != Prefixes.rend(); ++Prefix)
+    Uses.splice(Uses.end(), Uses, Blocks[*Prefix].Use);
+}
+
 void PrefixCache::store(const std::vector<std::string> &Prefixes,
                         TimePoint Now) {
   std::string Parent;
@@ -46,6 +49,7 @@
     }
     Parent = Prefix;
   }
+  markUsed(Prefixes);
   while (Blocks.size() > Bounds.Blocks) {
     std::string Oldest = Uses.front();
     Uses.pop_front();
--- a/tools/standin-engine/PrefixCache.h
+++ b/tools/standin-engine/PrefixCache.h
@@ -67,6 +67,7 @@
     std::string Parent;
   };
 
+  void markUsed(const std::vector<std::string> &Prefixes);
   void record(bool Stored, const std::string &Prefix, TimePoint Now);
 
   Limits Bounds;
--- a/tools/standin-platform/Platform.h
+++ b/tools/standin-platform/Platform.h
@@ -34,7 +34,8 @@
   double WeightsPerMinute = 0;
 };
 
-// Serves the platform's interface; every method runs on Io.
+// Serves the platform's interface; every method runs on Io, whose
+// handlers must not run after it is destroyed.
 class Platform {
 public:
   Platform(asio::io_context &Io, const PlatformOptions &Options);
--- a/tools/standin-service/Service.h
+++ b/tools/standin-service/Service.h
@@ -28,7 +28,8 @@
   std::int64_t PauseMs = 0;      // answer nothing for this long
 };
 
-// Serves the plain service's interface; every method runs on Io.
+// Serves the plain service's interface; every method runs on Io, whose
+// handlers must not run after it is destroyed.
 class Service {
 public:
   Service(asio::io_context &Io, ServiceOptions Options);
