--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -66,6 +66,7 @@
   // Whether all live entries of the zone, this one included, have acknowledged
   // the close.
   bool zoneCloseAcknowledged() const;
+  bool closeAcknowledged() const { return CloseAcknowledged; }
   // Stops all reading and writing of the platform.
   void stopPlatform();
 
