Count each running call of a gone entry once

A call that matched two records of gone incarnations was taken off the number of unknown calls twice, so that the home could lend what a call of an entry it never saw still used. An entry that is confirmed gone before it reported to a new home now counts as a possible earlier home. Test parameters print their names, which keeps test names equal over runs.

The new test fails without the change.

--- a/include/samphirehill/Limits/CreditHome.h
+++ b/include/samphirehill/Limits/CreditHome.h
@@ -91,6 +91,7 @@
 // An entry that left the instance list within the last MaxDeadline, or an old
 // home that restarted under its id. Earlier incarnations of entries that are
 // still listed need no mention; the home counts them by the uptime in reports.
+// Nor does one that said it had returned all credits and ended all calls.
 struct PastBorrower {
   EntryId Entry;
   Incarnation Number = 0; // 0: any
--- a/lib/Limits/CreditHome.cpp
+++ b/lib/Limits/CreditHome.cpp
@@ -73,34 +73,38 @@
   return true;
 }
 
-int runningOf(const std::vector<RequestId> &Running, const EntryId &Entry,
-              Incarnation Number) {
+// Returns whether Request is of incarnation Number of Entry; 0 means any.
+bool isOf(const RequestId &Request, const EntryId &Entry, Incarnation Number) {
   std::string Prefix = Entry.str() + ".";
   if (Number != 0)
     Prefix += std::to_string(Number) + ".";
-  return static_cast<int>(std::count_if(
-      Running.begin(), Running.end(), [&Prefix](const RequestId &Request) {
-        return std::string_view(Request.str()).starts_with(Prefix);
-      }));
+  return std::string_view(Request.str()).starts_with(Prefix);
 }
 
-int runningOf(const std::vector<RequestId> &Running, const GoneBorrower &Gone) {
-  int Count = runningOf(Running, Gone.Entry, Gone.Number);
-  if (Gone.Except != 0)
-    Count -= runningOf(Running, Gone.Entry, Gone.Except);
-  return Count;
+bool isOf(const RequestId &Request, const GoneBorrower &Gone) {
+  return isOf(Request, Gone.Entry, Gone.Number) &&
+         (Gone.Except == 0 || !isOf(Request, Gone.Entry, Gone.Except));
 }
 
-// Counts the requests of incarnations that the ledger doesn't know.
-int runningOfUnknown(const CreditLedger &Ledger,
-                     const std::vector<RequestId> &Running) {
-  int Known = 0;
+// Returns whether Request is of an incarnation that the ledger knows.
+bool isKnown(const CreditLedger &Ledger, const RequestId &Request) {
   for (const auto &[Entry, Account] : Ledger.Accounts)
-    Known +=
-        Account.Number != 0 ? runningOf(Running, Entry, Account.Number) : 0;
-  for (const GoneBorrower &Gone : Ledger.Gone)
-    Known += Gone.Entry.empty() ? 0 : runningOf(Running, Gone);
-  return std::max(0, static_cast<int>(Running.size()) - Known);
+    if (Account.Number != 0 && isOf(Request, Entry, Account.Number))
+      return true;
+  return std::any_of(Ledger.Gone.begin(), Ledger.Gone.end(),
+                     [&Request](const GoneBorrower &Gone) {
+                       return !Gone.Entry.empty() && isOf(Request, Gone);
+                     });
+}
+
+// Counts the requests that Gone may have sent.
+int runningOf(const CreditLedger &Ledger, const GoneBorrower &Gone,
+              const std::vector<RequestId> &Running) {
+  return static_cast<int>(std::count_if(
+      Running.begin(), Running.end(), [&](const RequestId &Request) {
+        return Gone.Entry.empty() ? !isKnown(Ledger, Request)
+                                  : isOf(Request, Gone);
+      }));
 }
 
 void lowerTo(CreditCount &Count, int Total) {
@@ -234,8 +238,12 @@
     if (Found == Ledger.Accounts.end())
       continue;
     LedgerContext Context{Home, Upstream, Ledger, Now, Out};
-    addGone(Context, Entry, Found->second.Number, 0,
-            Found->second.outstanding());
+    CreditAccount &Account = Found->second;
+    // An earlier incarnation of an entry that never reported may have been
+    // home.
+    bool MayHavePast = Account.Number == 0 && Ledger.PastLimit > 0;
+    addGone(Context, Entry, Account.Number, 0,
+            MayHavePast ? boundOf(Ledger.PastLimit) : Account.outstanding());
     Ledger.Accounts.erase(Found);
     lend(Context);
   }
@@ -263,12 +271,10 @@
     std::vector<GoneBorrower> &Gone = Context.Ledger.Gone;
     if (Gone.empty())
       return;
-    int Unknown = runningOfUnknown(Context.Ledger, Running);
     for (GoneBorrower &Each : Gone) {
       if (TakenAt < Each.ConfirmedAt + Context.Home.Settings.ReportDelay)
         continue;
-      lowerTo(Each.Counted,
-              Each.Entry.empty() ? Unknown : runningOf(Running, Each));
+      lowerTo(Each.Counted, runningOf(Context.Ledger, Each, Running));
     }
     std::erase_if(Gone, [](const GoneBorrower &Each) {
       return Each.Counted.total() == 0;
--- a/test/Limits/AdmissionTest.cpp
+++ b/test/Limits/AdmissionTest.cpp
@@ -191,6 +191,10 @@
   Duration RetryAfter;
 };
 
+std::ostream &operator<<(std::ostream &Out, const DeadlineCase &Case) {
+  return Out << Case.Name;
+}
+
 class AdmissionDeadlineTest : public testing::TestWithParam<DeadlineCase> {};
 
 // Guards against holding a request that can't be answered in time, and against
--- a/test/Limits/CrashSuspectsTest.cpp
+++ b/test/Limits/CrashSuspectsTest.cpp
@@ -30,6 +30,10 @@
   CrashVerdict Verdict; // of fingerprint 1
 };
 
+std::ostream &operator<<(std::ostream &Out, const CrashCase &Case) {
+  return Out << Case.Name;
+}
+
 class CrashVerdictTest : public testing::TestWithParam<CrashCase> {};
 
 // Guards against refusing innocent requests after a domain fault, and against
--- a/test/Limits/CreditHomeTest.cpp
+++ b/test/Limits/CreditHomeTest.cpp
@@ -194,6 +194,10 @@
   int Counted;
 };
 
+std::ostream &operator<<(std::ostream &Out, const GoneCase &Case) {
+  return Out << Case.Name;
+}
+
 class GoneTest : public CreditHomeTest,
                  public testing::WithParamInterface<GoneCase> {};
 
@@ -254,6 +258,27 @@
   EXPECT_EQ(takeAll("h"), 40 - borrowerCap(40) - 2);
 }
 
+// Guards against a call of an unknown entry that goes uncounted because another
+// one matches two records of gone incarnations.
+TEST_F(CreditHomeTest, CountsUnknownCallsBesideTwiceRecordedEntry) {
+  addEntries({"h", "r"}); // r was the home as incarnation 5 and restarted
+  Wallets[EntryId("r")].SelfIncarnation = 7;
+  HomeOpening Opening = opening(8);
+  Opening.FirstHome = false;
+  Opening.Epoch = 2;
+  Opening.PastIsComplete = false;
+  Opening.Past.push_back({EntryId("r"), 5, Now, true});
+  send(openHome(Home, Opening, Now));
+  deliver();
+  Now += seconds(2);
+  send(receiveEngineReport(Home, Engine,
+                           {RequestId("r.5.1"), RequestId("x.3.9")}, Now, Now));
+  CreditCount Unknown;
+  for (const GoneBorrower &Each : ledger().Gone)
+    Unknown = Unknown + (Each.Entry.empty() ? Each.Counted : CreditCount{});
+  EXPECT_EQ(Unknown.total(), 1);
+}
+
 // Guards against a home that gives up the role while it holds more than the
 // next home counts for it.
 TEST_F(CreditHomeTest, ReleasesOnlyWhenOwnCallsAreBelowCap) {
--- a/test/Limits/CreditsTest.cpp
+++ b/test/Limits/CreditsTest.cpp
@@ -16,6 +16,10 @@
   int WarmLimit;
 };
 
+std::ostream &operator<<(std::ostream &Out, const LimitCase &Case) {
+  return Out << Case.Name;
+}
+
 class CreditsHistoryTest : public testing::TestWithParam<LimitCase> {};
 
 // Guards against more work at an upstream than its limit, and against credits
@@ -74,6 +78,10 @@
   bool CreditFaults::*Switch; // nullptr: takeover on suspicion
 };
 
+std::ostream &operator<<(std::ostream &Out, const FaultCase &Case) {
+  return Out << Case.Name;
+}
+
 class CreditsFaultTest : public testing::TestWithParam<FaultCase> {};
 
 // Guards against a checker that can't fail: without any one of the rules some
