--- a/tools/samphirehilld/Main.cpp
+++ b/tools/samphirehilld/Main.cpp
@@ -84,7 +84,7 @@
                       spdlog::pattern_time_type::utc);
   try {
     return samphirehill::run(Count, Arguments);
-  } catch (const cxxopts::OptionException &Caught) {
+  } catch (const cxxopts::exceptions::exception &Caught) {
     std::cerr << "samphirehilld: " << Caught.what() << "; see --help\n";
     return 2;
   }
