Add histories of two controllers over failing engines

Cause: placement, health and orders must keep I1 and I2 together, not only each by itself. Change: a simulated zone with races, pauses, restarts, late orders and lost answers under RapidCheck; five switched-on faults that its checks must find; two cut-off deciders that must choose the same spares. Run: GroupsTests.

--- /dev/null
+++ b/test/Groups/HistoryTest.cpp
@@ -0,0 +1,126 @@
+#include "Groups/Simulation.h"
+
+#include "Groups/Fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace samphirehill {
+namespace {
+
+using namespace test;
+
+// Guards against any order of member losses, pauses, reboots, races on the
+// conditional write, late orders, restarts and lost answers that puts an
+// instance in two groups, lets a group serve with a member missing (I1, I2),
+// or leaves a group out of service for good.
+RC_GTEST_PROP(HistoryTest, KeepsInvariantsOverRandomHistories, ()) {
+  auto Choices = *rc::gen::container<std::vector<unsigned>>(
+      200, rc::gen::inRange(0U, 1U << 20U));
+  Simulation Zone({});
+  for (unsigned Choice : Choices) {
+    Zone.step(Choice);
+    RC_ASSERT(Zone.violation() == "");
+  }
+  Zone.heal();
+  RC_ASSERT(Zone.violation() == "");
+}
+
+// Returns the first violation in at most 400 seeded histories.
+std::string violationWith(SimulationFaults Faults) {
+  for (unsigned Seed = 1; Seed <= 400; ++Seed) {
+    std::mt19937 Random(Seed);
+    Simulation Zone(Faults);
+    for (int Step = 0; Step < 200; ++Step) {
+      Zone.step(static_cast<unsigned>(Random() % (1U << 20U)));
+      if (!Zone.violation().empty())
+        return Zone.violation();
+    }
+  }
+  return "";
+}
+
+// Each of these shows that a check of the simulation can fail.
+TEST(HistoryTest, FindsViolationWhenWritesAreUnconditional) {
+  SimulationFaults Faults;
+  Faults.UnconditionalWrites = true;
+  EXPECT_NE(violationWith(Faults), "");
+}
+
+TEST(HistoryTest, FindsInstanceInTwoGroupsWhenClaimsAreSeparate) {
+  SimulationFaults Faults;
+  Faults.SeparateClaims = true;
+  EXPECT_NE(violationWith(Faults).find("is claimed twice"), std::string::npos);
+}
+
+TEST(HistoryTest, FindsMissingMemberWhenReportAgeIsIgnored) {
+  SimulationFaults Faults;
+  Faults.IgnoreReportAge = true;
+  EXPECT_EQ(violationWith(Faults), "a group serves with a member missing");
+}
+
+TEST(HistoryTest, FindsForeignMemberWhenPlacementIsTrusted) {
+  SimulationFaults Faults;
+  Faults.TrustPlacement = true;
+  EXPECT_EQ(violationWith(Faults),
+            "a group serves with a member of another group");
+}
+
+TEST(HistoryTest, FindsOverridingOrderWhenTakeoverDoesNotWait) {
+  SimulationFaults Faults;
+  Faults.NoTakeoverWait = true;
+  EXPECT_EQ(violationWith(Faults),
+            "an order of a former controller overrode a newer one");
+}
+
+// Two deciders that are cut off from the platform lose the same members, see
+// different reports of everything else and must choose the same spares. With
+// Fault each takes the free engine that it heard last instead.
+bool deciderAgree(const Placement &Stored, const std::vector<InstanceId> &Lost,
+                  const std::vector<InstanceId> &HeardLast, bool Fault) {
+  std::vector<Placement> Results;
+  for (const InstanceId &Heard : HeardLast) {
+    Placement Value = Stored;
+    for (const InstanceId &Name : Lost) {
+      Placement Own = Value;
+      for (Group &Element : Own.Groups)
+        if (Fault && Element.Spare)
+          Element.Spare = Heard;
+      Value = substitute(Own, Name).value_or(Value);
+    }
+    Results.push_back(Value);
+  }
+  return Results[0].Groups == Results[1].Groups;
+}
+
+RC_GTEST_PROP(SubstituteTest, AgreesBetweenTwoDeciders, ()) {
+  PlannerInput Input = inputOf({modelService("a", *rc::gen::inRange(1, 5), 3)},
+                               {*rc::gen::inRange(5, 20)});
+  Input.Current = plan(Input).Next;
+  const Group &First = Input.Current.Groups.at(0);
+  auto Pick = [&] {
+    return Input
+        .Instances[*rc::gen::inRange<std::size_t>(0, Input.Instances.size())]
+        .Name;
+  };
+  std::vector<InstanceId> Lost = {First.Members.front(), Pick(), Pick()};
+  std::vector<InstanceId> HeardLast = {Pick(), Pick()};
+  RC_ASSERT(deciderAgree(Input.Current, Lost, HeardLast, false));
+  Placement Value = Input.Current;
+  for (const InstanceId &Name : Lost)
+    Value = substitute(Value, Name).value_or(Value);
+  RC_ASSERT(problemsOf(Value).empty());
+}
+
+TEST(SubstituteTest, DisagreesWhenSparesFollowReports) {
+  PlannerInput Input = inputOf({modelService("a", 2, 1)}, {5});
+  Input.Current = plan(Input).Next;
+  std::vector<InstanceId> Lost = {Input.Current.Groups.at(0).Members.at(0)};
+  EXPECT_FALSE(deciderAgree(Input.Current, Lost,
+                            {InstanceId("e0-3"), InstanceId("e0-4")}, true));
+}
+
+} // namespace
+} // namespace samphirehill
