Test membership decisions and fix what the tests found

Two changes of one operator at two entries that are cut off from each other could share a stamp and stay different for ever: a stamp now names the change as well. A joining entry waited for ever for a value whose only holder had ended: it now waits for seeds that still answer. Rotating versions in each message were of no use while digests agree: they are told only while these differ.

--- a/include/samphirehill/Membership/SharedState.h
+++ b/include/samphirehill/Membership/SharedState.h
@@ -8,7 +8,7 @@
 // no old value back.
 //
 // Growth of what one entry sends:
-// - versions in a heartbeat or summary: 4, or 16 while a peer's digest differs.
+// - versions in a heartbeat or summary: 2, or 16 while a peer's digest differs.
 //   Doesn't depend on the fleet or on the number of values;
 // - pulls: one per changed value, and one more per PullTimeout without answer;
 // - pushes: per changed value at most one for each peer that was sent a
@@ -44,15 +44,14 @@
 inline constexpr const char *CloseKind = "close";
 inline constexpr const char *CloseName = "state";
 
-constexpr Duration PullTimeout = milliseconds(500);
+constexpr Duration PullTimeout = milliseconds(250);
 // A joining entry that has an answer waits this long for the other seeds.
 constexpr Duration JoinSettle = seconds(1);
 // A joining entry to which no joined peer answers goes on with what it read
 // from the platform after this time.
 constexpr Duration JoinAlone = seconds(3);
 constexpr std::size_t RecentNotes = 2;    // versions told, newest changes first
-constexpr std::size_t RotatingNotes = 2;  // further ones, in rotation
-constexpr std::size_t DivergedNotes = 14; // instead, while a digest differs
+constexpr std::size_t DivergedNotes = 14; // and others, while a digest differs
 // How long a peer's different digest raises the number of versions told.
 constexpr Duration DivergedFor = seconds(1);
 
@@ -62,8 +61,11 @@
   auto operator<=>(const SharedKey &) const = default;
 };
 
-// Counter decides; Origin decides between two operators that chose the same
-// counter at once. {0, ""} is below every version.
+// Counter decides; Origin decides between two changes that took the same
+// counter at once. Origin is empty for platform objects and "<operator>/<change
+// id>" for zone values and the close mark: one version must never name two
+// values, even if an operator gives different states to two entries that are
+// cut off from each other. {0, ""} is below every version.
 struct SharedVersion {
   std::uint64_t Counter = 0;
   std::string Origin;
@@ -171,15 +173,22 @@
   TimePoint Until;
 };
 
+// The latest answer of one seed. The versions of a joined seed must be held
+// before joining, unless the seed has been silent for JoinAlone since: it may
+// have ended with a value that nobody else has.
+struct JoinAnswer {
+  bool Ready = false;
+  std::vector<VersionNote> Notes;
+  TimePoint At;
+};
+
 struct JoinState {
   std::set<EntryId> Seeds;
-  std::set<EntryId> Answered; // ready or not
-  bool ReadyAnswer = false;
+  std::map<EntryId, JoinAnswer> Answers;
   bool PlatformComplete = false;
   TimePoint Started;
-  std::optional<TimePoint> FirstAnswer;
+  std::optional<TimePoint> FirstReadyAnswer;
   std::optional<TimePoint> NextRequest;
-  std::map<SharedKey, SharedVersion> Floor; // must be held before joining
 };
 
 struct SharedState {
@@ -219,9 +228,11 @@
 bool closing(const SharedState &State);
 
 // The stamp for an operator's new value under Key: above all that are known
-// here. Two operators may take the same counter at once; the higher name wins.
+// here. ChangeId must be new for each change; whoever gives one change to
+// several entries uses one stamp for all.
 SharedVersion nextStamp(const SharedState &State, const SharedKey &Key,
-                        const std::string &Operator);
+                        const std::string &Operator,
+                        const std::string &ChangeId);
 
 // The value of the object zones/state as JSON text, and the reverse. Items of
 // other kinds are left out. A text that breaks the shape is a BadAnswer.
--- a/lib/Membership/Liveness.cpp
+++ b/lib/Membership/Liveness.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Membership/Liveness.h"
 
+#include "samphirehill/Core/Hash.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -115,21 +117,23 @@
 }
 
 void updateHealth(LivenessState &State, TimePoint Now, Actions &Out) {
+  const Duration SuspectLimit = suspectAfter(State);
+  const Duration DownLimit = downAfter(State);
   bool Forgotten = false;
   for (auto Next = State.Peers.begin(); Next != State.Peers.end();) {
     auto Current = Next++;
     PeerRecord &Record = Current->second;
     bool SameZone = Record.Known.Zone == State.Self.Zone;
     Duration Silence = Now - std::max(Record.LastHeard, Record.FirstSeenAt);
-    if (SameZone && Silence >= downAfter(State))
+    if (SameZone && Silence >= DownLimit)
       setHealth(Record, Health::Down, Out);
-    else if (SameZone && Silence >= suspectAfter(State) &&
+    else if (SameZone && Silence >= SuspectLimit &&
              Record.State == Health::Alive)
       setHealth(Record, Health::Suspect, Out);
     // Before the first list, seed peers are all that is known.
     if (Record.Listed || State.ListRevision == 0)
       continue;
-    if (Silence < (SameZone ? downAfter(State) : UnlistedKeptFor))
+    if (Silence < (SameZone ? DownLimit : UnlistedKeptFor))
       continue;
     State.Peers.erase(Current);
     Forgotten = true;
@@ -174,6 +178,8 @@
   std::vector<ZoneId> Zones(Others.begin(), Others.end());
   std::size_t Count = std::min(Zones.size(), MaxSummaryFanout);
   std::size_t Turns = turns(Zones.size(), MaxSummaryFanout);
+  if (Count != 0)
+    State.SummaryCursor %= Zones.size();
   for (std::size_t I = 0; I < Count; ++I) {
     const ZoneId &Zone = Zones[(State.SummaryCursor + I) % Zones.size()];
     if (auto Target = summaryTarget(State, Zone, Turns, Now))
@@ -187,6 +193,8 @@
 void sendHeartbeats(LivenessState &State, Actions &Out) {
   std::vector<EntryId> Peers = zonePeers(State);
   std::size_t Count = std::min(Peers.size(), MaxHeartbeatFanout);
+  if (Count != 0)
+    State.HeartbeatCursor %= Peers.size();
   for (std::size_t I = 0; I < Count; ++I)
     Out.emplace_back(
         SendHeartbeat{Peers[(State.HeartbeatCursor + I) % Peers.size()]});
@@ -204,7 +212,12 @@
 }
 
 Duration stretched(const LivenessState &State, Duration Base) {
-  std::size_t Turns = turns(zonePeers(State).size(), MaxHeartbeatFanout);
+  auto Peers = std::count_if(State.Peers.begin(), State.Peers.end(),
+                             [&](const auto &Each) {
+                               return Each.second.Known.Zone == State.Self.Zone;
+                             });
+  std::size_t Turns =
+      turns(static_cast<std::size_t>(Peers), MaxHeartbeatFanout);
   Duration TwoTurns = HeartbeatInterval * static_cast<std::int64_t>(2 * Turns);
   return Base * std::max<std::int64_t>(1, TwoTurns / SuspectAfter);
 }
@@ -216,6 +229,10 @@
   LivenessState State;
   State.Self = std::move(Self);
   State.Started = Started;
+  // Entries begin their rotations at different peers. From a common start all
+  // would tell the same peers in each round, and news would spread slowly.
+  State.HeartbeatCursor = hashBytes(State.Self.Entry.str());
+  State.SummaryCursor = hashBytes(State.Self.Zone.str());
   for (const Member &Seed : Seeds) {
     if (Seed.Entry == State.Self.Entry)
       continue;
--- a/lib/Membership/SharedState.cpp
+++ b/lib/Membership/SharedState.cpp
@@ -63,19 +63,31 @@
   Out.emplace_back(Joined{});
 }
 
+// Whether everything is held that a joined seed has told lately.
+bool holdsTold(const SharedState &State, const JoinAnswer &Answer) {
+  for (const VersionNote &Note : Answer.Notes)
+    if (heldVersion(State, Note.Key) < Note.Version)
+      return false;
+  return true;
+}
+
 bool mayJoin(const SharedState &State, TimePoint Now) {
   const JoinState &Join = State.Join;
-  bool AllAnswered = std::includes(Join.Answered.begin(), Join.Answered.end(),
-                                   Join.Seeds.begin(), Join.Seeds.end());
-  if (!Join.ReadyAnswer)
-    return Join.PlatformComplete &&
-           (AllAnswered || Now - Join.Started >= JoinAlone);
-  if (!AllAnswered && Now - *Join.FirstAnswer < JoinSettle)
-    return false;
-  for (const auto &[Key, Version] : Join.Floor)
-    if (heldVersion(State, Key) < Version)
+  bool AllAnswered = true;
+  for (const EntryId &Seed : Join.Seeds)
+    AllAnswered = AllAnswered && Join.Answers.count(Seed) != 0;
+  bool AnyReady = false;
+  for (const auto &[From, Answer] : Join.Answers) {
+    if (!Answer.Ready || Now - Answer.At >= JoinAlone)
+      continue;
+    AnyReady = true;
+    if (!holdsTold(State, Answer))
       return false;
-  return true;
+  }
+  if (AnyReady)
+    return AllAnswered || Now - *Join.FirstReadyAnswer >= JoinSettle;
+  return Join.PlatformComplete &&
+         (AllAnswered || Now - Join.Started >= JoinAlone);
 }
 
 void progressJoin(SharedState &State, TimePoint Now, Actions &Out) {
@@ -126,16 +138,9 @@
   if (State.IsJoined)
     return;
   JoinState &Join = State.Join;
-  Join.Answered.insert(Event.From);
-  if (Event.Ready) {
-    Join.ReadyAnswer = true;
-    if (!Join.FirstAnswer)
-      Join.FirstAnswer = Now;
-    for (const VersionNote &Note : Event.Notes) {
-      SharedVersion &Floor = Join.Floor[Note.Key];
-      Floor = std::max(Floor, Note.Version);
-    }
-  }
+  Join.Answers[Event.From] = JoinAnswer{Event.Ready, Event.Notes, Now};
+  if (Event.Ready && !Join.FirstReadyAnswer)
+    Join.FirstReadyAnswer = Now;
   progressJoin(State, Now, Out);
 }
 
@@ -212,8 +217,8 @@
     Notes.push_back({Order[I]->Item.Key, Order[I]->Item.Version});
 
   bool Diverged = State.DivergedUntil && Now < *State.DivergedUntil;
-  std::size_t Rotating = std::min(Diverged ? DivergedNotes : RotatingNotes,
-                                  State.Values.size() - Recent);
+  std::size_t Rotating =
+      std::min(Diverged ? DivergedNotes : 0, State.Values.size() - Recent);
   if (Rotating == 0)
     return Notes;
   auto Next = State.Values.begin();
@@ -254,8 +259,10 @@
 }
 
 SharedVersion nextStamp(const SharedState &State, const SharedKey &Key,
-                        const std::string &Operator) {
-  return SharedVersion{heldVersion(State, Key).Counter + 1, Operator};
+                        const std::string &Operator,
+                        const std::string &ChangeId) {
+  return SharedVersion{heldVersion(State, Key).Counter + 1,
+                       Operator + "/" + ChangeId};
 }
 
 } // namespace samphirehill
--- /dev/null
+++ b/test/Membership/LivenessTest.cpp
@@ -0,0 +1,219 @@
+#include "samphirehill/Membership/Liveness.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace samphirehill {
+namespace {
+
+const TimePoint Start{seconds(100)};
+
+Member entry(const std::string &Name, const std::string &Zone = "z1") {
+  return {EntryId(Name), ZoneId(Zone), "127.0.0.1:" + Name, false};
+}
+
+LivenessState stateOf(const std::vector<Member> &Others) {
+  LivenessState State = makeLiveness(entry("b"), 50, {}, Start);
+  InstanceListRead List{1, Others};
+  List.Entries.push_back(entry("b"));
+  decide(State, List, Start);
+  return State;
+}
+
+std::vector<LivenessAction> hear(LivenessState &State, const Member &From,
+                                 Incarnation Started, TimePoint Now) {
+  return decide(State, PeerHeard{From, Started, true}, Now);
+}
+
+template <typename T>
+std::vector<T> only(const std::vector<LivenessAction> &Actions) {
+  std::vector<T> Found;
+  for (const LivenessAction &Action : Actions)
+    if (const T *Value = std::get_if<T>(&Action))
+      Found.push_back(*Value);
+  return Found;
+}
+
+// Guards against hints that come late or that a late heartbeat doesn't undo.
+TEST(LivenessTest, FollowsSilenceOfZonePeer) {
+  struct Row {
+    std::int64_t SilenceMs;
+    Health Expected;
+  };
+  for (Row Each : {Row{0, Health::Alive}, Row{999, Health::Alive},
+                   Row{1000, Health::Suspect}, Row{1999, Health::Suspect},
+                   Row{2000, Health::Down}, Row{60000, Health::Down}}) {
+    LivenessState State = stateOf({entry("a")});
+    EXPECT_EQ(health(State, EntryId("a")), Health::Unheard);
+    hear(State, entry("a"), 7, Start);
+    TimePoint Now = Start + milliseconds(Each.SilenceMs);
+    decide(State, LivenessTick{}, Now);
+    EXPECT_EQ(health(State, EntryId("a")), Each.Expected) << Each.SilenceMs;
+    EXPECT_FALSE(confirmedGone(State, EntryId("a"), 7));
+    hear(State, entry("a"), 7, Now);
+    EXPECT_EQ(health(State, EntryId("a")), Health::Alive);
+  }
+}
+
+// Guards against credits reclaimed from a live process, and against ones that
+// are never reclaimed: only list and incarnation count as proof.
+TEST(LivenessTest, ConfirmsGoneOnlyOnProof) {
+  Member A = entry("a");
+  struct Row {
+    const char *Name;
+    LivenessEvent Event;
+    std::int64_t AfterMs;
+    bool Gone;
+  };
+  const std::vector<Row> Rows{
+      {"silence", LivenessTick{}, 3'600'000, false},
+      {"same incarnation", PeerHeard{A, 7, true}, 10, false},
+      {"older incarnation", PeerHeard{A, 6, true}, 10, false},
+      {"newer incarnation", PeerHeard{A, 8, true}, 10, true},
+      {"newer in any message", MessageReceived{EntryId("a"), 8}, 10, true},
+      {"absent from list", InstanceListRead{2, {entry("c")}}, 10, true},
+      {"absent from old list", InstanceListRead{1, {entry("c")}}, 10, false},
+      {"leaving in list",
+       InstanceListRead{2, {{A.Entry, A.Zone, A.Address, true}}}, 10, false},
+  };
+  for (const Row &Each : Rows) {
+    LivenessState State = stateOf({A});
+    hear(State, A, 7, Start);
+    auto Actions =
+        decide(State, Each.Event, Start + milliseconds(Each.AfterMs));
+    EXPECT_EQ(confirmedGone(State, EntryId("a"), 7), Each.Gone) << Each.Name;
+    EXPECT_FALSE(confirmedGone(State, EntryId("a"), 8)) << Each.Name;
+    std::vector<ConfirmedGone> Expected;
+    if (Each.Gone)
+      Expected.push_back({EntryId("a"), 7});
+    EXPECT_EQ(only<ConfirmedGone>(Actions), Expected) << Each.Name;
+  }
+}
+
+// Guards against a paused process that comes back after its end was confirmed
+// and is taken for alive.
+TEST(LivenessTest, IgnoresIncarnationAfterItsEndWasConfirmed) {
+  LivenessState State = stateOf({entry("a")});
+  hear(State, entry("a"), 7, Start);
+  decide(State, InstanceListRead{2, {}}, Start);
+  EXPECT_TRUE(hear(State, entry("a"), 7, Start).empty());
+  EXPECT_EQ(health(State, EntryId("a")), Health::Down);
+  hear(State, entry("a"), 9, Start);
+  EXPECT_EQ(health(State, EntryId("a")), Health::Alive);
+}
+
+// Guards against an instance that the lagging list doesn't show yet being taken
+// for gone, and against one that is remembered for ever.
+TEST(LivenessTest, KeepsUnlistedPeerWhileHeard) {
+  LivenessState State = stateOf({entry("a")});
+  EXPECT_EQ(only<MembersChanged>(hear(State, entry("n"), 3, Start)).size(), 1u);
+  decide(State, InstanceListRead{2, {entry("a")}}, Start);
+  EXPECT_EQ(health(State, EntryId("n")), Health::Alive);
+  decide(State, LivenessTick{}, Start + seconds(2));
+  EXPECT_EQ(members(State), std::vector<Member>{entry("a")});
+  EXPECT_FALSE(confirmedGone(State, EntryId("n"), 3));
+}
+
+// Guards against seeds that are dropped before the platform was ever read.
+TEST(LivenessTest, KeepsSilentSeedsUntilFirstList) {
+  LivenessState State = makeLiveness(entry("b"), 1, {entry("a")}, Start);
+  auto Actions = decide(State, LivenessTick{}, Start + seconds(600));
+  EXPECT_EQ(only<SendHeartbeat>(Actions),
+            std::vector<SendHeartbeat>{{EntryId("a")}});
+  EXPECT_EQ(members(State).size(), 1u);
+}
+
+// Guards against zones without a relay or watcher, and against roles for
+// entries that can't fill them.
+TEST(LivenessTest, ChoosesLowestTwoLiveEntriesAsRelayAndBackup) {
+  LivenessState State =
+      stateOf({entry("a"), entry("c"), entry("d"), entry("0", "z2")});
+  EXPECT_EQ(zoneRoles(State).Relay, EntryId("b")); // a is unheard
+  EXPECT_FALSE(zoneRoles(State).Backup.has_value());
+  for (const char *Peer : {"a", "c", "d"})
+    hear(State, entry(Peer), 7, Start);
+  hear(State, entry("0", "z2"), 7, Start);
+  EXPECT_EQ(zoneRoles(State).Relay, EntryId("a"));
+  EXPECT_EQ(zoneRoles(State).Backup, EntryId("b"));
+  EXPECT_FALSE(isRelay(State));
+  EXPECT_TRUE(watchesPlatform(State));
+  for (const char *Peer : {"c", "d"})
+    hear(State, entry(Peer), 7, Start + seconds(2));
+  decide(State, LivenessTick{}, Start + seconds(2));
+  EXPECT_TRUE(isRelay(State)); // a is down
+  EXPECT_EQ(zoneRoles(State).Backup, EntryId("c"));
+  State.Self.Leaving = true;
+  EXPECT_EQ(zoneRoles(State).Relay, EntryId("c"));
+  EXPECT_FALSE(watchesPlatform(State));
+}
+
+// Guards against heartbeats at the wrong pace or to other zones.
+TEST(LivenessTest, SendsHeartbeatsToZonePeersEachInterval) {
+  LivenessState State = stateOf({entry("a"), entry("c"), entry("x", "z2")});
+  std::size_t Heartbeats = 0;
+  for (std::int64_t Ms = 0; Ms < 10'000; Ms += 50) {
+    auto Actions = decide(State, LivenessTick{}, Start + milliseconds(Ms));
+    for (const SendHeartbeat &Each : only<SendHeartbeat>(Actions))
+      EXPECT_NE(Each.To, EntryId("x"));
+    Heartbeats += only<SendHeartbeat>(Actions).size();
+  }
+  EXPECT_EQ(Heartbeats, 2u * 40u);
+}
+
+// Guards against a peer of a very large zone that gets no heartbeat before it
+// must suspect the sender.
+TEST(LivenessTest, ServesAllPeersInTurnWhenZoneIsLarge) {
+  std::vector<Member> Others;
+  Others.reserve(40);
+  for (int I = 0; I < 40; ++I)
+    Others.push_back(entry("p" + std::to_string(100 + I)));
+  LivenessState State = stateOf(Others);
+  EXPECT_EQ(suspectAfter(stateOf({entry("a")})), SuspectAfter);
+  std::map<EntryId, TimePoint> Last;
+  for (std::int64_t Ms = 0; Ms < 10'000; Ms += 250) {
+    TimePoint Now = Start + milliseconds(Ms);
+    auto Sent = only<SendHeartbeat>(decide(State, LivenessTick{}, Now));
+    EXPECT_EQ(Sent.size(), MaxHeartbeatFanout);
+    for (const SendHeartbeat &Each : Sent) {
+      if (Last.count(Each.To) != 0) {
+        EXPECT_LE(Now - Last[Each.To],
+                  suspectAfter(State) / 2 + milliseconds(250));
+      }
+      Last[Each.To] = Now;
+    }
+  }
+  EXPECT_EQ(Last.size(), 40u);
+}
+
+// Guards against zones that get no summary because one of their entries is
+// dead, and against summaries from entries that aren't the relay.
+TEST(LivenessTest, SendsSummariesToHeardRelayOrToEachEntryInTurn) {
+  LivenessState State = stateOf({entry("x", "z2"), entry("y", "z2")});
+  std::vector<EntryId> Targets;
+  auto Collect = [&](std::int64_t Ms) {
+    auto Actions = decide(State, LivenessTick{}, Start + milliseconds(Ms));
+    for (const SendSummary &Each : only<SendSummary>(Actions))
+      Targets.push_back(Each.To);
+  };
+  Collect(0);
+  Collect(500);
+  EXPECT_EQ(Targets, (std::vector<EntryId>{EntryId("x"), EntryId("y")}));
+  Targets.clear();
+  decide(State, PeerHeard{entry("y", "z2"), 3, false},
+         Start + milliseconds(600));
+  Collect(1000);
+  Collect(1500);
+  EXPECT_EQ(Targets, (std::vector<EntryId>{EntryId("y"), EntryId("y")}));
+  Targets.clear();
+  Collect(5000);
+  Collect(5500);
+  EXPECT_NE(Targets.front(), Targets.back()); // y is silent
+  Targets.clear();
+  hear(State, entry("a"), 1, Start + milliseconds(5600));
+  Collect(6000);
+  EXPECT_TRUE(Targets.empty()); // a is the relay
+}
+
+} // namespace
+} // namespace samphirehill
--- a/test/Net/PeerLinkTest.cpp
+++ b/test/Net/PeerLinkTest.cpp
@@ -3,9 +3,10 @@
 #include "PeerLinkWorker.h"
 #include "peer.pb.h"
 
-#include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <asio/io_context.hpp>
+
 namespace samphirehill {
 namespace {
 
