--- a/include/samphirehill/Daemon/CreditController.h
+++ b/include/samphirehill/Daemon/CreditController.h
@@ -38,6 +38,7 @@
   void setBorrowers(const UpstreamId &Upstream, const BorrowerList &Borrowers);
   void setLimits(const UpstreamId &Upstream, int ColdLimit, int WarmLimit);
   void confirmGone(const EntryId &Entry);
+  void seeIncarnation(const EntryId &Entry, Incarnation Number);
   void engineReport(const UpstreamId &Upstream,
                     const std::vector<RequestId> &Running, TimePoint TakenAt);
   void seeBoot(const UpstreamId &Upstream, const BootId &Boot);
--- a/lib/Daemon/CreditController.cpp
+++ b/lib/Daemon/CreditController.cpp
@@ -105,6 +105,12 @@
   carryOut(samphirehill::confirmGone(Home, Entry, Shared.Timers.now()));
 }
 
+void CreditController::seeIncarnation(const EntryId &Entry,
+                                      Incarnation Number) {
+  carryOut(samphirehill::seeIncarnation(Home, Entry, Number,
+                                        Shared.Timers.now()));
+}
+
 void CreditController::engineReport(const UpstreamId &Upstream,
                                     const std::vector<RequestId> &Running,
                                     TimePoint TakenAt) {
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -310,7 +310,11 @@
 SharedVersion MembershipController::setByOperator(const SharedKey &Key,
                                                   const std::string &Value,
                                                   const std::string &Operator) {
-  SharedItem Item{Key, nextStamp(State, Key, Operator), Value};
+  // Unique over processes, so that no two changes share a stamp.
+  std::string ChangeId = Shared.Config.Entry.str() + "." +
+                         std::to_string(Shared.Started) + "." +
+                         std::to_string(++LastWrite);
+  SharedItem Item{Key, nextStamp(State, Key, Operator, ChangeId), Value};
   carryOut(
       decide(State, SharedEvent(OperatorChange{Item}), Shared.Timers.now()));
   return heldVersion(State, Key);
--- a/lib/Daemon/PlacementHomes.cpp
+++ b/lib/Daemon/PlacementHomes.cpp
@@ -12,7 +12,13 @@
   Duration Keep = CreditSettings().MaxDeadline;
   while (!Past.empty() && Past.front().ConfirmedAt + Keep < Now)
     Past.pop_front();
-  Credits.confirmGone(Gone.Entry);
+  // An entry that runs again under a newer incarnation is still a borrower.
+  auto Peer = Membership.liveness().Peers.find(Gone.Entry);
+  if (Peer != Membership.liveness().Peers.end() &&
+      Peer->second.Started > Gone.UpTo)
+    Credits.seeIncarnation(Gone.Entry, Peer->second.Started);
+  else
+    Credits.confirmGone(Gone.Entry);
 }
 
 BorrowerList PlacementController::borrowers() const {
