Ramp limits and notice dead engines

Cause: a fleet trial served at the cold limit for ever, since each application of the same limits put off the next ramp step, and stopped a group only when its report was 1.5 s old. Change: repeated limits change nothing (with a test); ramp factor and step come from the service; a process that refuses three connections within 300 ms counts as dead; an upstream that refuses a request as not whole is held off for 600 ms.

--- a/include/samphirehill/Daemon/ProbeController.h
+++ b/include/samphirehill/Daemon/ProbeController.h
@@ -64,6 +64,8 @@
   void receiveService(const Instance &Target, TimePoint AskedAt,
                       const HttpResponse &Response);
   void accept(const EngineReport &Report);
+  void probeFailed(const Instance &Target, const Error &Failure);
+  void lostEngine(const InstanceId &Name);
   void judge();
   void publish(UpstreamStatus Status, TimePoint TakenAt);
   void feedHome(const UpstreamId &Name, const EngineReport &Report);
@@ -82,6 +84,10 @@
   GroupHealthState Healths;
   std::map<GroupId, GroupFault> LastFaults;
   std::set<InstanceId> InFlight;
+  // Consecutive probes that could not connect.
+  std::map<InstanceId, int> Unconnected;
+  std::map<InstanceId, TimerSubscription> Reprobes;
+  std::map<UpstreamId, bool> WasWarm; // own upstreams, at the last report
   // Own upstreams' latest reports, for the next share.
   std::map<UpstreamId, std::pair<UpstreamStatus, TimePoint>> Own;
   // Bodies of own engine reports since the last share to the controller.
--- a/include/samphirehill/Daemon/UpstreamDirectory.h
+++ b/include/samphirehill/Daemon/UpstreamDirectory.h
@@ -36,6 +36,9 @@
   // A connection to it broke and it isn't known yet whether it crashed; it gets
   // no new work until that is settled.
   bool Doubtful = false;
+  // It refused a request as not whole or not the same process; it gets no new
+  // work until then, as its home will soon report the change.
+  TimePoint HeldOffUntil{};
 };
 
 struct UpstreamQuery {
@@ -59,6 +62,7 @@
   // any upstream ceased to serve.
   bool expire(TimePoint Now);
 
+  void holdOff(const UpstreamId &Name, TimePoint Until);
   void setDoubtful(const UpstreamId &Name, bool Value);
   // Process Boot of the upstream has ended.
   void setCrashed(const UpstreamId &Name, const BootId &Boot);
--- a/include/samphirehill/Limits/CreditHome.h
+++ b/include/samphirehill/Limits/CreditHome.h
@@ -58,6 +58,8 @@
   int WarmLimit = 1;
   int Limit = 1;
   int PastLimit = 0;       // highest limit of earlier homes
+  double RampFactor = 1.5; // per step
+  Duration RampStep = seconds(1);
   TimePoint LastStep{};    // last change of the limit
   TimePoint LastHalving{}; // by overload
   bool Stopped = false;    // lends no more
@@ -108,6 +110,8 @@
   // The limit to start with. The cold limit, unless the upstream reports that
   // it is warm.
   int StartLimit = 1;
+  double RampFactor = 1.5; // of the limit, per step
+  Duration RampStep = seconds(1);
   // No home lent credits of this upstream before.
   bool FirstHome = false;
   // The highest limit that an earlier home may have used.
--- a/include/samphirehill/Limits/CreditTypes.h
+++ b/include/samphirehill/Limits/CreditTypes.h
@@ -121,8 +121,6 @@
   Duration ReportDelay = seconds(1);
   Duration MaxDeadline = seconds(120); // drain time without an engine report
   int MaxBatch = 4;                    // credits lent ahead of demand
-  double RampFactor = 1.5;
-  Duration RampStep = seconds(1);
   CreditFaults Faults;
 };
 
--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -12,6 +12,8 @@
 using Json = nlohmann::json;
 
 constexpr int MaxAttempts = 5;
+// By then the home has probed the upstream again.
+constexpr Duration HoldOff = milliseconds(600);
 
 const char *priorityName(Priority Class) {
   switch (Class) {
@@ -216,6 +218,9 @@
     MayHaveRun = true;
   if (Response.Status == 503)
     Parts.Credits.seeOverload(Current->Upstream);
+  if (Reason == "group" || Reason == "boot-id")
+    Parts.Directory.holdOff(Current->Upstream,
+                            Parts.Shared.Timers.now() + HoldOff);
   Excluded.insert(Current->Upstream);
   giveBack(Duplicate);
   retry(Cause);
--- a/lib/Daemon/PlacementHomes.cpp
+++ b/lib/Daemon/PlacementHomes.cpp
@@ -85,6 +85,8 @@
     Opening.ColdLimit = Of->ColdLimit;
     Opening.WarmLimit = Of->WarmLimit;
     Opening.StartLimit = Boot->second.second ? Of->WarmLimit : Of->ColdLimit;
+    Opening.RampFactor = Of->LimitRamp.Factor;
+    Opening.RampStep = Of->LimitRamp.Step;
     Opening.FirstHome = Where.Epoch == 1;
     Opening.HighestLimit = std::max(Of->ColdLimit, Of->WarmLimit);
     Opening.Borrowers = borrowers();
--- a/lib/Daemon/ProbeController.cpp
+++ b/lib/Daemon/ProbeController.cpp
@@ -12,6 +12,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration ProbeTimeout = milliseconds(1000);
+constexpr Duration ReprobePeriod = milliseconds(100);
+constexpr int DeadAfterProbes = 3;
 // Reports from other zones pass two relays, each of which may hold them back
 // for one summary interval.
 constexpr Duration RemoteValidity = ReportAgeLimit + SummaryInterval * 2;
@@ -37,6 +39,10 @@
   Hub.handle(peer::Envelope::kEngineReports, [this](const auto &Message) {
     TimePoint Now = this->Shared.Timers.now();
     for (const peer::EngineReport &Each : Message.engine_reports().reports()) {
+      if (Each.status().empty()) {
+        lostEngine(InstanceId(Each.instance()));
+        continue;
+      }
       Json Status = Json::parse(Each.status(), nullptr, false);
       Outcome<EngineReport> Report = capture(
           [&] { return parseReport(Status, Now - Duration(Each.age_us())); });
@@ -106,15 +112,41 @@
     return;
   const auto *Response = std::get_if<HttpResponse>(&Value);
   if (!Response) {
-    Shared.Counters.count("probes_failed_total");
+    probeFailed(Target, *errorOf(Value));
     return;
   }
+  Unconnected.erase(Target.Name);
   if (Target.Role == InstanceRole::Service)
     receiveService(Target, AskedAt, *Response);
   else if (Response->Status == 200)
     receiveEngine(Target, AskedAt, Response->Body);
 }
 
+// A process that does not listen is dead; a few quick probes tell that from one
+// lost connection. Silence of any other kind is left to the age of the report.
+void ProbeController::probeFailed(const Instance &Target,
+                                  const Error &Failure) {
+  Shared.Counters.count("probes_failed_total");
+  if (Failure.Code != ResultCode::ConnectFailed) {
+    Unconnected.erase(Target.Name);
+    return;
+  }
+  if (++Unconnected[Target.Name] >= DeadAfterProbes) {
+    lostEngine(Target.Name);
+    if (Wanted.Controller != Shared.Config.Entry)
+      ToController[Target.Name] = {"", Shared.Timers.now()};
+    return;
+  }
+  Reprobes[Target.Name] = Shared.Timers.after(
+      ReprobePeriod, [this, Name = Target.Name] { probeNow(Name); });
+}
+
+void ProbeController::lostEngine(const InstanceId &Name) {
+  if (Reports.erase(Name) > 0)
+    Shared.record("engine-lost", Name.str(), "its process does not listen");
+  judge();
+}
+
 void ProbeController::receiveEngine(const Instance &Target, TimePoint AskedAt,
                                     const std::string &Body) {
   Json Status = Json::parse(Body, nullptr, false);
@@ -150,7 +182,13 @@
     return;
   Credits.seeBoot(Name, Report.Boot);
   Credits.engineReport(Name, Report.RunningIds, Report.At);
-  if (Warm)
+  bool &Before = WasWarm[Name];
+  if (Before && !Warm)
+    Credits.seeColdAtHome(Name,
+                          ColdEvidence{ColdCause::CacheLost, Report.Boot});
+  Before = Warm;
+  // A queue at the engine shows that more work would only wait there.
+  if (Warm && Report.Queued == 0)
     Credits.seeHealthy(Name);
 }
 
@@ -246,8 +284,15 @@
                                           " at " + Health.Member.str());
     LastFaults[Each.Name] = Health.Fault;
     const EngineReport *Leader = findReport(Reports, Each.Members.front());
-    if (!Leader)
+    if (!Leader) {
+      auto Last = Own.find(Name);
+      if (Last != Own.end() && Last->second.first.Serving) {
+        UpstreamStatus Stopped = Last->second.first;
+        Stopped.Serving = false;
+        publish(std::move(Stopped), Now);
+      }
       continue;
+    }
     TimePoint Oldest = Now;
     for (const InstanceId &Member : Each.Members)
       if (const EngineReport *Report = findReport(Reports, Member))
--- a/lib/Daemon/UpstreamDirectory.cpp
+++ b/lib/Daemon/UpstreamDirectory.cpp
@@ -36,6 +36,10 @@
 bool UpstreamDirectory::expire(TimePoint Now) {
   bool Any = false;
   for (auto &[Name, Entry] : ByName) {
+    if (Entry.HeldOffUntil != TimePoint() && Entry.HeldOffUntil <= Now) {
+      Entry.HeldOffUntil = TimePoint();
+      applyState(Entry);
+    }
     if (!Entry.Status.Serving || Entry.ValidUntil > Now)
       continue;
     Entry.Status.Serving = false;
@@ -45,6 +49,14 @@
   return Any;
 }
 
+void UpstreamDirectory::holdOff(const UpstreamId &Name, TimePoint Until) {
+  auto Found = ByName.find(Name);
+  if (Found == ByName.end())
+    return;
+  Found->second.HeldOffUntil = Until;
+  applyState(Found->second);
+}
+
 void UpstreamDirectory::setDoubtful(const UpstreamId &Name, bool Value) {
   auto Found = ByName.find(Name);
   if (Found == ByName.end())
@@ -136,7 +148,8 @@
 
 void UpstreamDirectory::applyState(const DirectoryEntry &Entry) {
   Table.setState(Entry.Status.Info.Id, Entry.Status.Cold, Entry.Status.Leaving,
-                 Entry.Status.Serving && !Entry.Doubtful);
+                 Entry.Status.Serving && !Entry.Doubtful &&
+                     Entry.HeldOffUntil == TimePoint());
 }
 
 } // namespace samphirehill
--- a/lib/Limits/CreditHome.cpp
+++ b/lib/Limits/CreditHome.cpp
@@ -167,6 +167,8 @@
   Ledger.WarmLimit = Opening.WarmLimit;
   Ledger.Limit = Opening.StartLimit;
   Ledger.LastStep = Now;
+  Ledger.RampFactor = Opening.RampFactor;
+  Ledger.RampStep = Opening.RampStep;
   bool None = Opening.FirstHome || Home.Settings.Faults.IgnoreUnreachable;
   CreditCount Bound =
       None ? CreditCount{} : boundOf(borrowerCap(Opening.HighestLimit));
@@ -302,9 +304,8 @@
                         TimePoint Now) {
   return withLedger(Home, Upstream, Now, [](LedgerContext &Context) {
     CreditLedger &Ledger = Context.Ledger;
-    bool TooSoon =
-        Ledger.LastHalving != TimePoint{} &&
-        Context.Now - Ledger.LastHalving < Context.Home.Settings.RampStep;
+    bool TooSoon = Ledger.LastHalving != TimePoint{} &&
+                   Context.Now - Ledger.LastHalving < Ledger.RampStep;
     if (TooSoon)
       return;
     Ledger.LastHalving = Context.Now;
@@ -316,10 +317,10 @@
                        TimePoint Now) {
   return withLedger(Home, Upstream, Now, [](LedgerContext &Context) {
     CreditLedger &Ledger = Context.Ledger;
-    bool Due = Context.Now - Ledger.LastStep >= Context.Home.Settings.RampStep;
+    bool Due = Context.Now - Ledger.LastStep >= Ledger.RampStep;
     if (!Due || Ledger.Limit >= Ledger.WarmLimit)
       return;
-    double Raised = std::ceil(Ledger.Limit * Context.Home.Settings.RampFactor);
+    double Raised = std::ceil(Ledger.Limit * Ledger.RampFactor);
     setLimit(Context, std::min(Ledger.WarmLimit, static_cast<int>(Raised)));
   });
 }
--- a/lib/Limits/CreditLending.cpp
+++ b/lib/Limits/CreditLending.cpp
@@ -198,6 +198,9 @@
 }
 
 void setLimit(LedgerContext &Context, int Limit) {
+  // Repeating a limit must not put off the next step of the ramp.
+  if (Limit == Context.Ledger.Limit)
+    return;
   bool Lower = Limit < Context.Ledger.Limit;
   Context.Ledger.Limit = Limit;
   Context.Ledger.LastStep = Context.Now;
--- a/test/Limits/CreditHomeTest.cpp
+++ b/test/Limits/CreditHomeTest.cpp
@@ -320,5 +320,20 @@
   EXPECT_EQ(nextWalletTime(wallet("a")), DueTimes::Never);
 }
 
+// Guards against a limit that stays at the cold limit for ever because the
+// configuration is applied more often than the ramp steps.
+TEST_F(CreditHomeTest, RampsWhileTheSameLimitsAreSetAgain) {
+  addEntries({"h"});
+  HomeOpening Opening = opening(8);
+  Opening.StartLimit = 1;
+  send(openHome(Home, Opening, Now));
+  for (int Step = 0; Step < 100; ++Step) {
+    Now += milliseconds(250);
+    send(setLimits(Home, Engine, 1, 8, Now));
+    send(seeHealthy(Home, Engine, Now));
+  }
+  EXPECT_EQ(Home.Ledgers.at(Engine).Limit, 8);
+}
+
 } // namespace
 } // namespace samphirehill
