Close late-order holes in takeover acknowledgement

Cause: histories showed that an order of a former controller could override a newer one on an engine that ignores fences: a copy of an order that was sent again could still arrive after the acknowledgement, an acknowledgement could be stored at a later fence than the one it was decided at, and a resend skipped the takeover wait. Change: no acknowledgement until OrderSettleTime after the last lost order; AcknowledgeTakeover names its fence; a resend checks the wait again.

--- a/include/samphirehill/Groups/Orders.h
+++ b/include/samphirehill/Groups/Orders.h
@@ -90,7 +90,9 @@
   std::optional<EngineReport> Report;
   OrderPhase Phase = OrderPhase::Idle;
   std::optional<Order> Last;
-  TimePoint Since;      // start of the phase
+  TimePoint Since; // start of the phase
+  // A lost order, also one that was sent again, may arrive until then.
+  TimePoint MayArriveUntil;
   bool WasLost = false; // of Last, in phase Unsettled
 };
 
@@ -141,8 +143,11 @@
 };
 // Store settleFormer(stored placement, Self): this process was taken over from
 // and has no order under way. Repeated with each tick until the stored
-// placement shows it.
-struct AcknowledgeTakeover {};
+// placement shows it. Only valid for a placement with this fence: at a later
+// one this process may have given orders again.
+struct AcknowledgeTakeover {
+  std::uint64_t Fence = 0;
+};
 // An engine has refused an order with a higher fence: read the placement.
 struct ReadPlacement {
   std::uint64_t Fence = 0;
--- a/lib/Groups/Orders.cpp
+++ b/lib/Groups/Orders.cpp
@@ -106,6 +106,13 @@
   Out.emplace_back(ReadPlacement{Fence});
 }
 
+// Tells whether a former controller may still order the engine about while its
+// group changes.
+bool awaitsTakeover(const OrdersState &State, const EngineOrders &Engine) {
+  return Engine.Report->Group != Engine.Target.Group && !Engine.ChecksFence &&
+         !State.FormerSettled;
+}
+
 // Settles an order that was answered or whose answer is lost. Returns false
 // while that needs more time or a newer report.
 bool settle(const OrdersState &State, EngineOrders &Engine,
@@ -132,7 +139,7 @@
                    Last.Group == Engine.Target.Group &&
                    Last.Generation == Engine.Target.Generation &&
                    Last.Members == Engine.Target.Members;
-  if (Engine.WasLost && IsCurrent) {
+  if (Engine.WasLost && IsCurrent && !awaitsTakeover(State, Engine)) {
     enter(Engine, OrderPhase::Sent, Now);
     Out.emplace_back(SendOrder{Name, Last});
     return false;
@@ -148,6 +155,7 @@
       return;
     enter(Engine, OrderPhase::Unsettled, Now);
     Engine.WasLost = true;
+    Engine.MayArriveUntil = Now + OrderSettleTime;
     Out.emplace_back(ReadStatus{Name});
   }
   if (Engine.Phase == OrderPhase::Unsettled &&
@@ -164,8 +172,7 @@
     enter(Engine, OrderPhase::Idle, Now);
     return depose(State, Report.Fence, Out);
   }
-  bool GroupChanges = Report.Group != Engine.Target.Group;
-  if (GroupChanges && !Engine.ChecksFence && !State.FormerSettled)
+  if (awaitsTakeover(State, Engine))
     return enter(Engine, OrderPhase::AwaitsTakeover, Now);
   bool KeepsRole = hasRole(Report, Engine.Target);
   if (!KeepsRole && Report.Running + Report.Queued > 0) {
@@ -245,15 +252,17 @@
   Engine->Phase = OrderPhase::Unsettled;
   Engine->Since = Now;
   Engine->WasLost = true;
+  Engine->MayArriveUntil = Now + OrderSettleTime;
   Out.emplace_back(ReadStatus{Event.Engine});
 }
 
-bool hasOldOrderUnderWay(const OrdersState &State) {
-  return std::any_of(State.Engines.begin(), State.Engines.end(),
-                     [&](const auto &Element) {
-                       return isUnderWay(Element.second) &&
-                              Element.second.Last->Fence < State.Fence;
-                     });
+bool hasOldOrderUnderWay(const OrdersState &State, TimePoint Now) {
+  return std::any_of(
+      State.Engines.begin(), State.Engines.end(), [&](const auto &Element) {
+        const EngineOrders &Engine = Element.second;
+        bool HasOld = isUnderWay(Engine) && Engine.Last->Fence < State.Fence;
+        return HasOld || Now < Engine.MayArriveUntil;
+      });
 }
 
 } // namespace
@@ -347,8 +356,8 @@
   }
   for (auto &[Name, Engine] : State.Engines)
     advance(State, Name, Engine, Now, Out);
-  if (State.OwesAcknowledgement && !hasOldOrderUnderWay(State))
-    Out.emplace_back(AcknowledgeTakeover{});
+  if (State.OwesAcknowledgement && !hasOldOrderUnderWay(State, Now))
+    Out.emplace_back(AcknowledgeTakeover{State.Fence});
   return Out;
 }
 
