--- a/test/Groups/OrdersTest.cpp
+++ b/test/Groups/OrdersTest.cpp
@@ -189,6 +189,37 @@
   EXPECT_EQ(sent(), nullptr);
 }
 
+// Guards against an acknowledgement while another copy of an order that was
+// sent again may still arrive.
+TEST_F(OrdersTest, AcknowledgesTakeoverOnlyAfterLostCopyIsTooOld) {
+  Order Value = firstOrder();
+  feed(OrderAnswerLost{Engine, Value.OrderId});
+  report(OrderRetryTime);
+  ASSERT_NE(sent(), nullptr);
+  feed(OrderAnswered{Engine, Value.OrderId, true, Value.Fence});
+  carryOut(Value);
+  Stored = takeOver(Stored, Other);
+  report();
+  store();
+  EXPECT_FALSE(acknowledges());
+  Now += OrderSettleTime;
+  feed(OrdersTick{});
+  EXPECT_TRUE(acknowledges());
+}
+
+// Guards against a resend to an engine that a former controller has put into
+// another group meanwhile.
+TEST_F(OrdersTest, DoesNotResendWhileTakeoverIsUnsettled) {
+  Report.Group = GroupId("g");
+  Stored = takeOver(takeOver(Stored, Other), Self);
+  Order Value = firstOrder();
+  ASSERT_EQ(Value.Group, GroupId("g"));
+  feed(OrderAnswerLost{Engine, Value.OrderId});
+  Report.Group = GroupId("h");
+  report(OrderRetryTime);
+  EXPECT_EQ(sent(), nullptr);
+}
+
 // Guards against a planned stop that cuts off requests in progress (I9).
 TEST_F(OrdersTest, DrainsEngineBeforeItsRoleChanges) {
   carryOut(firstOrder());
