Test that best fit looks at the rest of a domain

Cause: replacing the choice by the tightest fit failed no test. Change: a fleet where the tightest fit strands two engines; the test fails with that choice. Run: scripts/test.

--- a/test/Groups/PlannerTest.cpp
+++ b/test/Groups/PlannerTest.cpp
@@ -84,6 +84,14 @@
   EXPECT_EQ(Result.StrandedAccelerators, 4);
 }
 
+// Guards against the tightest domain being taken although its rest fits no
+// replica while another domain's rest does.
+TEST(PlannerTest, PrefersDomainWhoseRestIsUsable) {
+  Plan Result =
+      plan(inputOf({modelService("a", 3, 1), modelService("b", 2, 3)}, {4, 5}));
+  EXPECT_EQ(Result.StrandedAccelerators, 0);
+}
+
 // Guards against a lost member that is replaced by another engine than the
 // spare, which would disagree with substitute().
 TEST(PlannerTest, RepairsWithSpareAsSubstituteDoes) {
