--- a/lib/Daemon/PlacementController.cpp
+++ b/lib/Daemon/PlacementController.cpp
@@ -266,9 +266,12 @@
       Probes.probeNow(Read->Engine);
     else if (std::holds_alternative<ReadPlacement>(Action))
       readBack();
-    else if (std::holds_alternative<AcknowledgeTakeover>(Action) && Stored &&
-             !WriteInFlight)
-      store(settleFormer(*Stored, self()), "takeover acknowledged");
+    else if (const auto *Ack = std::get_if<AcknowledgeTakeover>(&Action)) {
+      // At a later fence the acknowledgement would cover orders it does not
+      // know of.
+      if (Stored && !WriteInFlight && Stored->Fence == Ack->Fence)
+        store(settleFormer(*Stored, self()), "takeover acknowledged");
+    }
   }
 }
 
