Give a released home on once, and notice outages and crashes sooner

Cause: trials of a shutdown showed the controller moving a released home again at every step, as the release was never forgotten; a waiting watch noticed an outage only when it ended; the home probed a crashed leader up to 500 ms after the crash was known. Change: a release counts for its epoch only; failed writes mark the platform as down; a crash makes the home probe the group at once.

--- a/include/samphirehill/Daemon/CrashController.h
+++ b/include/samphirehill/Daemon/CrashController.h
@@ -2,6 +2,7 @@
 #ifndef SAMPHIREHILL_DAEMON_CRASHCONTROLLER_H
 #define SAMPHIREHILL_DAEMON_CRASHCONTROLLER_H
 
+#include "samphirehill/Core/Signal.h"
 #include "samphirehill/Daemon/PeerHub.h"
 #include "samphirehill/Daemon/Runtime.h"
 #include "samphirehill/Limits/CrashSuspects.h"
@@ -28,6 +29,9 @@
   // are in progress there become suspects; all entries are told once.
   void crashed(const CrashId &Where, const DomainId &Domain);
 
+  // Emitted when a crash becomes known, also from another entry.
+  Signal<CrashId> Crashed;
+
   const CrashSuspects &suspects() const { return Suspects; }
 
 private:
--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -50,6 +50,9 @@
   const std::map<InstanceId, Instance> &instances() const { return Instances; }
   bool joined() const { return State.IsJoined; }
   bool platformReachable() const { return PlatformReachable; }
+  // A call to the platform failed with Code; a waiting watch notices an outage
+  // late.
+  void noteFailure(ResultCode Code);
 
   // Takes a zone state ("in" or "out") or the close mark from an operator.
   // Returns the stamp under which it is in force here.
--- a/include/samphirehill/Daemon/PlacementController.h
+++ b/include/samphirehill/Daemon/PlacementController.h
@@ -96,8 +96,9 @@
   std::deque<PastBorrower> Past;
   std::map<UpstreamId, std::pair<BootId, bool>> Seen; // boot id, warm
   std::map<UpstreamId, std::uint64_t> OpenEpochs;     // homes held, by epoch
-  std::set<UpstreamId> Released;  // by others, told to this controller
-  std::set<UpstreamId> Releasing; // own, on the way out
+  // Homes given up, with the epoch of the role, told to this controller.
+  std::map<UpstreamId, std::uint64_t> Released;
+  std::set<UpstreamId> Releasing;              // own, on the way out
   std::map<UpstreamId, std::uint64_t> GivenUp; // own, told until it shows
   bool Unloading = false;
   bool LeavingHomes = false;
--- a/include/samphirehill/Daemon/ProbeController.h
+++ b/include/samphirehill/Daemon/ProbeController.h
@@ -43,6 +43,9 @@
   };
   void setTargets(Targets Wanted);
 
+  // Reads the status of a group's members now, if this entry is its home.
+  void probeGroup(const UpstreamId &Name);
+
   // Reads one engine's status now.
   void probeNow(const InstanceId &Name);
 
--- a/lib/Daemon/CrashController.cpp
+++ b/lib/Daemon/CrashController.cpp
@@ -60,6 +60,7 @@
   }
   for (const EntryId &Peer : Peers())
     Hub.send(Peer, Envelope);
+  Crashed.emit(Where);
 }
 
 void CrashController::receive(const peer::Envelope &Envelope) {
@@ -73,6 +74,7 @@
     Crash.InProgress.push_back(
         {Message.fingerprints(I), Duration(Message.running_for_us(I))});
   recordCrash(Suspects, Crash, Shared.Timers.now());
+  Crashed.emit(Crash.Crash);
 }
 
 } // namespace samphirehill
--- a/lib/Daemon/Entry.cpp
+++ b/lib/Daemon/Entry.cpp
@@ -78,6 +78,8 @@
   });
   Probes = std::make_unique<ProbeController>(Shared, *Hub, *Membership,
                                              *Credits, Directory);
+  Crashes->Crashed.connect(
+      [this](const CrashId &Where) { Probes->probeGroup(Where.Upstream); });
   Placements = std::make_unique<PlacementController>(
       Shared, *Hub, *Store, *Membership, *Probes, *Credits, Texts, Directory);
   Dispatch = std::make_unique<Dispatcher>(Shared, *Credits, Directory);
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -97,6 +97,19 @@
                 Shared.Config.Platform.str(), "");
 }
 
+void MembershipController::noteFailure(ResultCode Code) {
+  bool Silent = Code == ResultCode::PlatformUnavailable ||
+                Code == ResultCode::UnknownWriteOutcome;
+  if (!Silent || !PlatformReachable)
+    return;
+  noteReachable(false);
+  // Starts with a new list, which tells when the platform answers again.
+  if (InstanceLoop && !PlatformStopped) {
+    InstanceLoop->stop();
+    InstanceLoop->start();
+  }
+}
+
 void MembershipController::takeInstances(const InstanceList &List) {
   if (List.Complete)
     Instances.clear();
--- a/lib/Daemon/PlacementController.cpp
+++ b/lib/Daemon/PlacementController.cpp
@@ -47,7 +47,7 @@
         Found->second.Epoch != Release.epoch() ||
         Found->second.Holder.Entry.str() != Message.sender())
       return;
-    Released.insert(Name);
+    Released[Name] = Release.epoch();
   });
   Tick = Shared.Timers.every(TickPeriod, [this] { tick(); });
 }
@@ -69,8 +69,11 @@
     return;
   Version = Item.Version.Counter;
   Stored = Read;
-  std::erase_if(Released, [this](const UpstreamId &Name) {
-    return !Stored->Homes.contains(Name);
+  // A role that was given up is gone once its epoch has passed; later holders
+  // have not given it up.
+  std::erase_if(Released, [this](const auto &Each) {
+    auto Found = Stored->Homes.find(Each.first);
+    return Found == Stored->Homes.end() || Found->second.Epoch != Each.second;
   });
   adopt(std::move(Read));
 }
@@ -155,7 +158,8 @@
     if (confirmedGone(Membership.liveness(), Where.Holder.Entry,
                       Where.Holder.Start))
       Input.GoneEntries.insert(Where.Holder);
-  Input.ReleasedHomes = Released;
+  for (const auto &[Name, Epoch] : Released)
+    Input.ReleasedHomes.insert(Name);
   return Input;
 }
 
@@ -199,6 +203,7 @@
   if (errorOf(Value)) {
     Shared.record("placement-write-failed", Shared.Config.Zone.str(),
                   errorOf(Value)->Message);
+    Membership.noteFailure(errorOf(Value)->Code);
     // Whatever became of the write, the object tells.
     readBack();
     return;
--- a/lib/Daemon/PlacementHomes.cpp
+++ b/lib/Daemon/PlacementHomes.cpp
@@ -122,7 +122,7 @@
   EntryId Controller = zoneRoles(Membership.liveness()).Relay;
   for (const auto &[Name, Epoch] : GivenUp) {
     if (Controller == Shared.Config.Entry) {
-      Released.insert(Name);
+      Released[Name] = Epoch;
       continue;
     }
     peer::Envelope Envelope;
--- a/lib/Daemon/ProbeController.cpp
+++ b/lib/Daemon/ProbeController.cpp
@@ -85,6 +85,14 @@
   Directory.expire(Shared.Timers.now());
 }
 
+void ProbeController::probeGroup(const UpstreamId &Name) {
+  if (!Wanted.Homes.contains(Name))
+    return;
+  if (const Group *Found = Wanted.Groups.findGroup(GroupId(Name.str())))
+    for (const InstanceId &Member : Found->Members)
+      probeNow(Member);
+}
+
 void ProbeController::probeNow(const InstanceId &Name) {
   auto Found = Wanted.Instances.find(Name);
   if (Found != Wanted.Instances.end())
