--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -56,6 +56,10 @@
   SharedVersion setByOperator(const SharedKey &Key, const std::string &Value,
                               const std::string &Operator);
 
+  // Takes a value with a stamp that an operator gave to several entries.
+  // Returns the stamp in force here, a higher one if Item's is not.
+  SharedVersion setByOperator(const SharedItem &Item);
+
   // Offers an object that was just written, so that peers learn it at once.
   void offer(const SharedItem &Item);
 
--- a/lib/Daemon/CreditController.cpp
+++ b/lib/Daemon/CreditController.cpp
@@ -107,8 +107,8 @@
 
 void CreditController::seeIncarnation(const EntryId &Entry,
                                       Incarnation Number) {
-  carryOut(samphirehill::seeIncarnation(Home, Entry, Number,
-                                        Shared.Timers.now()));
+  carryOut(
+      samphirehill::seeIncarnation(Home, Entry, Number, Shared.Timers.now()));
 }
 
 void CreditController::engineReport(const UpstreamId &Upstream,
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -314,10 +314,14 @@
   std::string ChangeId = Shared.Config.Entry.str() + "." +
                          std::to_string(Shared.Started) + "." +
                          std::to_string(++LastWrite);
-  SharedItem Item{Key, nextStamp(State, Key, Operator, ChangeId), Value};
+  return setByOperator(
+      SharedItem{Key, nextStamp(State, Key, Operator, ChangeId), Value});
+}
+
+SharedVersion MembershipController::setByOperator(const SharedItem &Item) {
   carryOut(
       decide(State, SharedEvent(OperatorChange{Item}), Shared.Timers.now()));
-  return heldVersion(State, Key);
+  return heldVersion(State, Item.Key);
 }
 
 void MembershipController::offer(const SharedItem &Item) {
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -4,6 +4,7 @@
 #include "samphirehill/Daemon/CompletionApi.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace samphirehill {
@@ -50,6 +51,40 @@
   Message.set_request(Value.Request);
 }
 
+// The versions of the platform and of JSON numbers end there.
+constexpr std::uint64_t MaxCounter = (std::uint64_t{1} << 53) - 1;
+
+Json stampJson(const SharedVersion &Stamp) {
+  return {{"counter", Stamp.Counter}, {"origin", Stamp.Origin}};
+}
+
+// The stamp in Body, nothing if it names none, or an error.
+Outcome<std::optional<SharedVersion>> stampOf(const Json &Body) {
+  if (!Body.contains("stamp"))
+    return std::optional<SharedVersion>();
+  const Json &Stamp = Body["stamp"];
+  bool Valid = Stamp.is_object() && Stamp.contains("counter") &&
+               Stamp["counter"].is_number_unsigned() && Stamp["counter"] >= 1 &&
+               Stamp["counter"] <= MaxCounter && Stamp.contains("origin") &&
+               Stamp["origin"].is_string() && Stamp["origin"] != "";
+  if (!Valid)
+    return Error{ResultCode::BadRequest,
+                 R"(stamp must be {"counter": 1 to 2^53 - 1, "origin": )"
+                 R"("<operator>/<change id>"})"};
+  return std::optional<SharedVersion>({Stamp["counter"].get<std::uint64_t>(),
+                                       Stamp["origin"].get<std::string>()});
+}
+
+void refuseStamp(HttpExchange &Exchange, const std::string &Zone,
+                 const SharedVersion &Held) {
+  Json Body = Json::parse(errorBody(
+      Error{ResultCode::Conflict, "zone " + Zone + " has the stamp " +
+                                      std::to_string(Held.Counter) + " of " +
+                                      Held.Origin + " in force"}));
+  Body["stamp"] = stampJson(Held);
+  respondJson(Exchange, httpStatus(ResultCode::Conflict), Body);
+}
+
 // Rings of several processes that arrive one after another.
 struct Collection {
   std::vector<std::vector<Event>> Rings;
@@ -199,16 +234,30 @@
   if (!Known)
     return refuseOperator(Exchange, ResultCode::NotFound,
                           "no text in force has a zone \"" + Zone + "\"");
+  Outcome<std::optional<SharedVersion>> Given = stampOf(Body);
+  if (const Error *Failure = errorOf(Given))
+    return refuseOperator(Exchange, Failure->Code, Failure->Message);
   std::string State = Body["state"];
-  std::string Operator = Body.value("operator", std::string("operator"));
+  std::string Operator = "operator";
+  if (Body.contains("operator") && Body["operator"].is_string())
+    Operator = Body["operator"];
+  SharedKey Key{ZoneKind, Zone};
+  const std::optional<SharedVersion> &Wanted = std::get<0>(Given);
+  SharedVersion Before = heldVersion(Membership.shared(), Key);
   SharedVersion Stamp =
-      Membership.setByOperator({ZoneKind, Zone}, State, Operator);
+      Wanted ? Membership.setByOperator(SharedItem{Key, *Wanted, State})
+             : Membership.setByOperator(Key, State, Operator);
+  const SharedItem *Held = heldItem(Membership.shared(), Key);
+  // One stamp must never name two values.
+  if (Wanted && (Stamp != *Wanted || !Held || Held->Value != State))
+    return refuseStamp(Exchange, Zone, Stamp);
+  if (Stamp == Before)
+    return respondJson(
+        Exchange, 200,
+        {{"zone", Zone}, {"state", State}, {"stamp", stampJson(Stamp)}});
   Shared.record("zone-" + State, Zone, "operator " + Operator);
-  respondJson(
-      Exchange, 200,
-      {{"zone", Zone},
-       {"state", State},
-       {"stamp", {{"counter", Stamp.Counter}, {"origin", Stamp.Origin}}}});
+  respondJson(Exchange, 200,
+              {{"zone", Zone}, {"state", State}, {"stamp", stampJson(Stamp)}});
 }
 
 void OperatorApi::beginClose(HttpExchange &Exchange) {
