--- a/lib/Ctl/VentureClient.cpp
+++ b/lib/Ctl/VentureClient.cpp
@@ -27,6 +27,8 @@
   if (Answer.Status == 401)
     Failure = {ResultCode::Unauthenticated,
                Url + ": the entry refused the operator key"};
+  else if (Answer.Status == 400)
+    Failure.Code = ResultCode::BadRequest;
   else if (Answer.Status == 404)
     Failure.Code = ResultCode::NotFound;
   else if (Answer.Status == 409)
--- a/tools/samphirehillctl/CommandLine.cpp
+++ b/tools/samphirehillctl/CommandLine.cpp
@@ -2,7 +2,9 @@
 
 #include "samphirehill/Config/Settings.h"
 #include "samphirehill/Ctl/Apply.h"
+#include "samphirehill/Ctl/CloseRun.h"
 #include "samphirehill/Ctl/StatusReport.h"
+#include "samphirehill/Ctl/Timeline.h"
 #include "samphirehill/Ctl/Zones.h"
 
 #include <asio/io_context.hpp>
@@ -177,6 +179,30 @@
   return changeZones(Own.Venture, Change, Tell);
 }
 
+Report runClose(const Parsed &Options, const Arguments &Given,
+                const Say &Tell) {
+  needNoArguments(Given);
+  Session Own(Options);
+  Own.needPlatform();
+  CloseOptions How;
+  How.Operator = Options["operator"].as<std::string>();
+  How.Wait = Options.count("wait") > 0;
+  return closeVenture(Own.Venture, How, Tell);
+}
+
+Report runTimeline(const Parsed &Options, const Arguments &Given,
+                   const Say &Tell) {
+  needNoArguments(Given);
+  std::string Format = Options["format"].as<std::string>();
+  if (Format != "text" && Format != "trace")
+    throw UsageError("--format " + Format + ": must be text or trace");
+  Session Own(Options);
+  Own.needEntries();
+  return reportTimeline(
+      Own.Venture,
+      Format == "text" ? TimelineFormat::Text : TimelineFormat::Trace, Tell);
+}
+
 Command validateCommand() {
   return {"validate", "FILE...", "Check texts, also against each other",
           "",         addJson,   runValidate};
@@ -242,12 +268,46 @@
       runZone};
 }
 
+Command closeCommand() {
+  return {
+      "close",
+      "",
+      "Close the venture and delete all its objects",
+      "\nSets the close mark, waits for all entries and engines and deletes "
+      "all objects.\nAn interrupted close goes on when it is run again. "
+      "Exits with 1 while it is not\ncomplete. Give the addresses of all "
+      "entries: one that does not answer is waited\nfor 120 s.\n",
+      [](cxxopts::Options &Options) {
+        addJson(Options);
+        addPlatform(Options);
+        addEntries(Options);
+        addOperator(Options);
+        Options.add_options()("wait", "Go on until the close is complete");
+      },
+      runClose};
+}
+
+Command timelineCommand() {
+  return {"timeline",
+          "",
+          "Show the events of all processes in causal order",
+          "\nThe trace format is trace-event JSON for trace viewers.\n",
+          [](cxxopts::Options &Options) {
+            addJson(Options);
+            addEntries(Options);
+            Options.add_options()(
+                "format", "text or trace",
+                cxxopts::value<std::string>()->default_value("text"), "FORMAT");
+          },
+          runTimeline};
+}
+
 } // namespace
 
 const std::vector<Command> &commands() {
-  static const std::vector<Command> All = {validateCommand(), diffCommand(),
-                                           applyCommand(), statusCommand(),
-                                           zoneCommand()};
+  static const std::vector<Command> All = {
+      validateCommand(), diffCommand(),  applyCommand(),   statusCommand(),
+      zoneCommand(),     closeCommand(), timelineCommand()};
   return All;
 }
 
