Say not run only when it holds for the key

A shard whose object could not be read answered RecordStoreUnavailable (not run), although another entry may have run an earlier delivery under the key. It now gives that code only to requests after whose arrival a read of the object has shown no record of the key; all others get OutcomeUnknown with a retry time. This includes the shard's owner, which learns of its replacement only from the object.

The model's check of not-run answers has no exception any more, and a new fault shows that it can fail. RefusesWithRetryTimeWhilePlatformIsDown expected the old code; SaysMayHaveRunWhileRecordsCantBeRead replaces it, with the retry and the later run unchanged.

--- a/include/samphirehill/Idempotency/RecordShard.h
+++ b/include/samphirehill/Idempotency/RecordShard.h
@@ -13,11 +13,15 @@
 // answer came; every SendCall with exactly one CallEnded.
 //
 // Meaning of `not run`: the request that gets it has not been and will not be
-// sent. With any code but RecordStoreUnavailable it also holds for the key and
-// body: no call for them that was recorded before the request arrived ran or
-// may still run. With RecordStoreUnavailable it holds for all calls that this
-// process sent or has read of; it can't speak of calls that another entry sent
-// and that can't be read now. A SendCall must still be dropped, and reported as
+// sent, and no call for its key and body that was recorded before the request
+// arrived ran or may still run. While the object can't be read,
+// RecordStoreUnavailable (`not run`) is therefore given only to requests after
+// whose arrival a read began that showed this process as the records' owner, or
+// about to become it, and no record of the key. All others get OutcomeUnknown
+// (`may have run`) with a retry time: another entry may have run an earlier
+// delivery. That this process held the shard before is no proof, because an
+// entry learns that it was replaced only from the object. A SendCall must still
+// be dropped, and reported as
 // CallNotRun, if its deadline passes before it leaves the process. Set
 // CallArrived::MayBeResend when the system itself passes a request on a second
 // time; such a request gets `may have run` instead.
@@ -48,6 +52,10 @@
   // An earlier delivery of the same request may have been sent by another
   // entry, for example when a forwarding connection broke.
   bool MayBeResend = false;
+  // Set by step(): reads with this or a higher id began after the arrival, and
+  // whether one of them has shown no record that decides the request.
+  std::uint64_t FirstRead = 0;
+  bool Seen = false;
 };
 // The caller went away. The call itself goes on.
 struct CallerGone {
@@ -136,6 +144,8 @@
     RequestId Request;
     TimePoint Deadline;
     bool MayBeResend = false;
+    std::uint64_t FirstRead = 0; // as in CallArrived
+    bool Seen = false;
   };
   // A call that this process started; outlives the loss of the shard.
   struct Call {
--- a/lib/Idempotency/RecordShard.cpp
+++ b/lib/Idempotency/RecordShard.cpp
@@ -51,6 +51,10 @@
       continue;
     }
     if (Contained && Value.State == Phase::Starting) {
+      // The write took effect on the version without the record, and whoever
+      // takes over since finds the record.
+      for (Waiter &To : Value.Waiters)
+        To.Seen = true;
       dropLate(Value);
       if (Value.Waiters.empty()) {
         Abandoned.emplace_back(Id, Value.Attempt);
@@ -102,11 +106,18 @@
     S.Dirty = true;
     S.Version = Event.Version;
   }
-  for (const auto &[ReadId, Waiting] : std::exchange(S.Confirming, {})) {
-    if (ReadId <= Event.ReadId)
-      arrive(Waiting, true);
-    else
+  for (auto &[Id, Value] : S.Calls)
+    if (Value.State == Phase::Starting)
+      for (Waiter &To : Value.Waiters)
+        To.Seen = To.Seen || To.FirstRead <= Event.ReadId;
+  for (auto &[ReadId, Waiting] : std::exchange(S.Confirming, {})) {
+    if (ReadId <= Event.ReadId) {
+      CallArrived Confirmed = Waiting;
+      Confirmed.Seen = true;
+      arrive(Confirmed, true);
+    } else {
       S.Confirming.emplace_back(ReadId, Waiting);
+    }
   }
 }
 
@@ -134,7 +145,7 @@
       S.Image.Records.erase(Found);
     for (const Waiter &To : Value.Waiters)
       Again.push_back(CallArrived{To.Request, Id, Value.BodyHash, To.Deadline,
-                                  To.MayBeResend});
+                                  To.MayBeResend, To.FirstRead, To.Seen});
     It = S.Calls.erase(It);
   }
   // Outcomes that became known after the shard was lost.
@@ -145,7 +156,8 @@
   }
   // Recorded outcomes are answered; new keys go into the write that acquires
   // the shard. What needs a later read waits until the shard is held.
-  for (const CallArrived &Waiting : Again) {
+  for (CallArrived &Waiting : Again) {
+    Waiting.Seen = Waiting.Seen || Waiting.FirstRead <= Event.ReadId;
     if (S.Calls.contains(Waiting.Record))
       arrive(Waiting, false);
     else
--- a/lib/Idempotency/ShardCalls.cpp
+++ b/lib/Idempotency/ShardCalls.cpp
@@ -8,7 +8,8 @@
 namespace samphirehill::detail {
 
 Waiter waiterOf(const CallArrived &Event) {
-  return Waiter{Event.Request, Event.Deadline, Event.MayBeResend};
+  return Waiter{Event.Request, Event.Deadline, Event.MayBeResend,
+                Event.FirstRead, Event.Seen};
 }
 
 void Stepper::refuse(const Waiter &To, ResultCode Code, std::string Message,
@@ -24,9 +25,14 @@
 
 void Stepper::refuseUnavailable(const Waiter &To) {
   Duration Wait = S.RetryAt ? *S.RetryAt - Now : Duration(0);
-  refuse(To, ResultCode::RecordStoreUnavailable,
-         "record shard " + std::to_string(S.Settings.Shard) +
-             " can't be written: the platform does not answer",
+  std::string Shard = "record shard " + std::to_string(S.Settings.Shard);
+  if (To.Seen)
+    return refuse(To, ResultCode::RecordStoreUnavailable,
+                  Shard + " can't be written: the platform does not answer",
+                  std::max(Wait, seconds(1)));
+  refuse(To, ResultCode::OutcomeUnknown,
+         Shard + " can't be read: an earlier request with this key may have "
+                 "run, and the platform does not answer",
          std::max(Wait, seconds(1)));
 }
 
--- a/lib/Idempotency/ShardStepper.h
+++ b/lib/Idempotency/ShardStepper.h
@@ -22,7 +22,12 @@
   Stepper(RecordShard &Shard, TimePoint Now, WallTime Wall)
       : S(Shard), Now(Now), Wall(Wall) {}
 
-  void apply(const CallArrived &Event) { arrive(Event, false); }
+  void apply(const CallArrived &Event) {
+    CallArrived Noted = Event;
+    Noted.FirstRead = S.NextId;
+    Noted.Seen = false;
+    arrive(Noted, false);
+  }
   void apply(const CallerGone &Event);
   void apply(const CallEnded &Event);
   void apply(const WriteReport &Event);
@@ -39,6 +44,7 @@
   // Answers.
   void refuse(const Waiter &To, ResultCode Code, std::string Message,
               Duration RetryAfter = Duration(0));
+  // Refuses because the object can't be read or written.
   void refuseUnavailable(const Waiter &To);
   // Answers from memory, because the object can't be read.
   void answerOffline(const CallArrived &Event);
--- a/test/Idempotency/RecordShardTest.cpp
+++ b/test/Idempotency/RecordShardTest.cpp
@@ -147,21 +147,51 @@
   EXPECT_EQ(Test.count<AnswerOutcome>(), 1u);
 }
 
-// Guards against a caller that waits out an outage, and against sending its
-// call later although it was told `not run`.
-TEST(RecordShardTest, RefusesWithRetryTimeWhilePlatformIsDown) {
+// Guards against a caller that waits out an outage, and against `not run` for
+// a key that another entry may have run.
+TEST(RecordShardTest, SaysMayHaveRunWhileRecordsCantBeRead) {
   Fixture Test;
   Test.arrive("k", "r1");
   Test.feed(ReadReport{Test.ReadId, ReadReport::Failed});
-  EXPECT_EQ(Test.refusal(), ResultCode::RecordStoreUnavailable);
+  EXPECT_EQ(Test.refusal(), ResultCode::OutcomeUnknown);
   EXPECT_GE(std::get<AnswerRefusal>(Test.Last[0]).RetryAfter, seconds(1));
   Test.arrive("k", "r2");
-  EXPECT_EQ(Test.refusal(), ResultCode::RecordStoreUnavailable);
+  EXPECT_EQ(Test.refusal(), ResultCode::OutcomeUnknown);
   Test.Now += seconds(1);
   Test.run("k", "r3");
   EXPECT_EQ(Test.count<SendCall>(), 1u);
 }
 
+// Guards against `not run` from records that were read before the request
+// arrived, and against `may have run` where a later read excludes it.
+TEST(RecordShardTest, SaysNotRunOnlyAfterReadSinceArrival) {
+  Fixture Read; // the acquisition's write is lost after its read
+  Read.arrive("k", "r1");
+  Read.found(ShardObject(), 1);
+  Read.feed(WriteReport{Read.Put.WriteId, WriteReport::Lost});
+  Read.feed(ReadReport{Read.ReadId, ReadReport::Failed});
+  EXPECT_EQ(Read.refusal(), ResultCode::RecordStoreUnavailable);
+  EXPECT_GE(std::get<AnswerRefusal>(Read.Last[0]).RetryAfter, seconds(1));
+
+  Fixture Early; // the read began before the second arrival
+  Early.arrive("k", "r1");
+  Early.arrive("k2", "r2");
+  Early.found(ShardObject(), 1);
+  Early.feed(WriteReport{Early.Put.WriteId, WriteReport::Lost});
+  Early.feed(ReadReport{Early.ReadId, ReadReport::Failed});
+  ASSERT_EQ(Early.count<AnswerRefusal>(), 2u);
+  EXPECT_EQ(Early.refusal(), ResultCode::RecordStoreUnavailable);
+  EXPECT_EQ(std::get<AnswerRefusal>(Early.Last[1]).Code,
+            ResultCode::OutcomeUnknown);
+
+  Fixture Held; // held, but another entry may have taken over since
+  Held.run("k0", "r0");
+  Held.arrive("k", "r1");
+  Held.feed(WriteReport{Held.Put.WriteId, WriteReport::Lost});
+  Held.feed(ReadReport{Held.ReadId, ReadReport::Failed});
+  EXPECT_EQ(Held.refusal(), ResultCode::OutcomeUnknown);
+}
+
 // Guards against running a key whose call was started by an earlier owner and
 // against an untrue `not run` for it, also while the platform is down.
 TEST(RecordShardTest, SaysMayHaveRunForRecordOfEarlierEpoch) {
--- a/test/Idempotency/ShardHistoryTest.cpp
+++ b/test/Idempotency/ShardHistoryTest.cpp
@@ -88,7 +88,8 @@
 std::string nameOf(ShardFault Fault) {
   constexpr const char *Names[] = {
       "None",           "SendBeforeAcknowledged", "LostTakenAsStored",
-      "ForgetsStarted", "DeniesStarted",          "ChangesOutcome"};
+      "ForgetsStarted", "DeniesStarted",          "DeniesUnread",
+      "ChangesOutcome"};
   return Names[static_cast<int>(Fault)];
 }
 
@@ -108,6 +109,7 @@
                                          ShardFault::LostTakenAsStored,
                                          ShardFault::ForgetsStarted,
                                          ShardFault::DeniesStarted,
+                                         ShardFault::DeniesUnread,
                                          ShardFault::ChangesOutcome),
                          [](const auto &Case) { return nameOf(Case.param); });
 
--- a/test/Idempotency/ShardWorld.cpp
+++ b/test/Idempotency/ShardWorld.cpp
@@ -83,6 +83,10 @@
     if (Fault == ShardFault::DeniesStarted &&
         Given.Code == ResultCode::OutcomeUnknown)
       Given.Code = ResultCode::UpstreamRefused;
+    if (Fault == ShardFault::DeniesUnread &&
+        Given.Code == ResultCode::OutcomeUnknown &&
+        Given.Message.find("can't be read") != std::string::npos)
+      Given.Code = ResultCode::RecordStoreUnavailable;
     checkRefusal(Entry, Given);
   } else if (const auto *Forward = std::get_if<ForwardCall>(&Action)) {
     // The next entry receives it as the first one did.
@@ -135,7 +139,7 @@
       });
   if (ByThisProcess || InProgress)
     broken("`not run` for a key that this process ran or may still run");
-  if (Answer.Code != ResultCode::RecordStoreUnavailable && Asked.RanBefore)
+  if (Asked.RanBefore)
     broken("`not run` for a key that ran before the request arrived");
 }
 
--- a/test/Idempotency/ShardWorld.h
+++ b/test/Idempotency/ShardWorld.h
@@ -23,6 +23,7 @@
   LostTakenAsStored,      // takes a lost write answer as stored
   ForgetsStarted,         // ignores `started` records of earlier owners
   DeniesStarted,          // says `not run` for a started record
+  DeniesUnread,           // says `not run` when the records can't be read
   ChangesOutcome          // replays another body than the recorded one
 };
 
