Repeat unanswered forwards; wire record controller into entry

A message to a peer is lost while its connection is down, so a forwarded call waited out its deadline. The sender now repeats the message, and the receiver takes a repetition for the same call.

--- a/include/samphirehill/Daemon/RecordController.h
+++ b/include/samphirehill/Daemon/RecordController.h
@@ -25,6 +25,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -107,7 +109,11 @@
     AnswerFunction Answer;
     EntryId ForwardedTo;       // empty: not forwarded
     std::uint64_t Forward = 0; // number of the forward under way
+    TimePoint RepeatAt;        // when its message is sent again
+    Duration RepeatWait{};
   };
+  // A forward as its receiver sees it: sender, request id and hops.
+  using ForwardKey = std::tuple<std::string, std::string, std::uint32_t>;
   // Where the record of a call is kept: in a shard, or in this process under
   // an entry-issued key.
   using RecordPlace = std::optional<std::size_t>;
@@ -120,6 +126,8 @@
   void arriveHere(const RequestId &Id);
   void passOn(const RequestId &Id, const EntryId &LastRead);
   void forward(const RequestId &Id, const EntryId &To);
+  void sendForward(const RequestId &Id);
+  void repeatForwards();
   void forwardEnded(const RequestId &Id, const EntryId &To,
                     const Outcome<peer::Envelope> &Value);
   void forwardBroke(const RequestId &Id);
@@ -163,6 +171,9 @@
   bool Feeding = false;
   EntryKeys Keys;
   std::map<RequestId, Pending> Requests;
+  // Forwards from other entries that are not answered yet, and what to answer:
+  // the last message of each.
+  std::map<ForwardKey, std::shared_ptr<peer::Envelope>> Received;
   std::uint64_t LastForward = 0;
   std::size_t CallsOut = 0;
   bool Leaving = false;
--- a/lib/Daemon/Entry.cpp
+++ b/lib/Daemon/Entry.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Daemon/Entry.h"
 
 #include "samphirehill/Daemon/OperatorApi.h"
+#include "samphirehill/Daemon/RecordController.h"
 #include "samphirehill/Daemon/RequestPath.h"
 #include "samphirehill/Membership/Close.h"
 
@@ -54,6 +55,7 @@
   std::unique_ptr<PlacementController> Placements;
   std::unique_ptr<Dispatcher> Dispatch;
   std::unique_ptr<UpstreamCalls> Calls;
+  std::unique_ptr<RecordController> Records;
   std::unique_ptr<RequestPath> Path;
   std::unique_ptr<OperatorApi> Operators;
   std::unique_ptr<HttpServer> CallerServer;
@@ -83,17 +85,26 @@
   Dispatch = std::make_unique<Dispatcher>(Shared, *Credits, Directory);
   Calls = std::make_unique<UpstreamCalls>(Shared, *Dispatch, *Credits, *Crashes,
                                           Directory);
+  CallParts Served{Shared, *Dispatch, *Credits, *Crashes,
+                   *Calls, Directory, Retries,  Runs};
+  Records = std::make_unique<RecordController>(
+      Served, *Hub, *Store, Texts, recordPeersOf(*Membership, Shared));
   RequestPathHooks Hooks;
   Hooks.Admission = [this] { return refusalNow(); };
-  Path = std::make_unique<RequestPath>(CallParts{Shared, *Dispatch, *Credits,
-                                                 *Crashes, *Calls, Directory,
-                                                 Retries, Runs},
-                                       Texts, std::move(Hooks));
+  Hooks.Keyed = [this](RequestContext Request, std::function<void()> Ended) {
+    Records->keyed(std::move(Request), std::move(Ended));
+  };
+  Hooks.IssueKey = [this](RequestContext &Request) {
+    Records->issueKey(Request);
+  };
+  Path = std::make_unique<RequestPath>(Served, Texts, std::move(Hooks));
   Operators = std::make_unique<OperatorApi>(Shared, *Hub, *Membership,
                                             *Placements, Texts, Directory,
                                             [this] { return inProgress(); });
   Membership->InForce.connect(
       [this](const SharedItem &Item) { putInForce(Item); });
+  Membership->EntryGone.connect(
+      [this](const ConfirmedGone &Gone) { Records->entryGone(Gone); });
   Membership->ZonesObjectDeleted.connect([this] { ZonesObjectDeleted = true; });
   Membership->start();
   Tick = Shared.Timers.every(TickPeriod, [this] { tick(); });
@@ -199,7 +210,9 @@
 
 void Entry::Parts::followShutdown() {
   bool Late = Shared.Timers.now() >= ShutdownBy;
-  if (inProgress() > 0 && !Late)
+  bool KeepsRecords =
+      Records->shardsLeft() > 0 || Records->callsInProgress() > 0;
+  if ((inProgress() > 0 || KeepsRecords) && !Late)
     return;
   Placements->releaseHomes();
   if ((Calls->count() > 0 || Placements->homesLeft() > 0) && !Late)
@@ -239,6 +252,7 @@
     return;
   Own->Shared.record("shutting-down", Own->Shared.Config.Entry.str(), "signal");
   Own->Membership->setLeaving();
+  Own->Records->handOver();
   Own->ShutdownBy =
       Own->Shared.Timers.now() + Own->Shared.Config.ShutdownDeadline;
   Own->ShutdownDone = std::move(Done);
--- a/lib/Daemon/RecordController.cpp
+++ b/lib/Daemon/RecordController.cpp
@@ -131,6 +131,7 @@
 
 void RecordController::tick() {
   updateCandidates();
+  repeatForwards();
   carryOut(tickEntryKeys(Keys, Shared.Timers.now()));
   Keys.Settings.Ttl = recordTtl();
   double Held = 0;
@@ -213,10 +214,9 @@
   Shared.Counters.count(
       "record_writes_total",
       static_cast<double>(State.Counters.Writes - Before.Writes));
-  Shared.Counters.count(
-      "record_write_conflicts_total",
-      static_cast<double>(State.Counters.WriteConflicts -
-                          Before.WriteConflicts));
+  Shared.Counters.count("record_write_conflicts_total",
+                        static_cast<double>(State.Counters.WriteConflicts -
+                                            Before.WriteConflicts));
   for (const ShardAction &Action : Actions)
     carryOut(Shard, Action);
   wakeWhenDue(Shard);
--- a/lib/Daemon/RecordControllerCalls.cpp
+++ b/lib/Daemon/RecordControllerCalls.cpp
@@ -19,6 +19,9 @@
 // the entry that could not reach it.
 constexpr Duration UnreachableTime = seconds(2);
 constexpr Duration UndecidedRetry = seconds(1);
+// A message to a peer is lost while its connection is down, so a forward that
+// is not answered is sent again after this time, which doubles each time.
+constexpr Duration FirstRepeat = milliseconds(250);
 
 // What must be equal for two requests under one key to be the same call.
 std::uint64_t bodyHashOf(const PlainRequest &Request) {
@@ -44,9 +47,9 @@
     }
   }
   const auto &Response = std::get<HttpResponse>(Result);
-  return CallAnswered{
-      CallOutcome{Response.Status, findHeader(Response.Headers, "Content-Type"),
-                  Response.Body, false}};
+  return CallAnswered{CallOutcome{Response.Status,
+                                  findHeader(Response.Headers, "Content-Type"),
+                                  Response.Body, false}};
 }
 
 void answerCaller(RequestContext &Request, const KeyedAnswer &Value) {
@@ -100,20 +103,27 @@
   HttpHeaders Headers = resultHeaders(Request, ResultCode::Ok);
   Headers.emplace_back("Content-Type", "application/json");
   nlohmann::json Body = {
-      {"key", Key},
-      {"expires_in_s", toMilliseconds(Keys.Settings.Ttl) / 1000}};
+      {"key", Key}, {"expires_in_s", toMilliseconds(Keys.Settings.Ttl) / 1000}};
   Request.Exchange->respond(201, Headers, Body.dump());
 }
 
 void RecordController::receive(const peer::Envelope &Message) {
-  peer::Envelope Asked;
-  Asked.set_sender(Message.sender());
-  Asked.set_correlation(Message.correlation());
+  const peer::ForwardedCall &Call = Message.forwarded_call();
+  ForwardKey Key(Message.sender() + "." + std::to_string(Message.incarnation()),
+                 Call.request_id(), Call.hops());
+  auto [Found, Added] = Received.try_emplace(Key);
+  if (Added)
+    Found->second = std::make_shared<peer::Envelope>();
+  std::shared_ptr<peer::Envelope> Asked = Found->second;
+  Asked->set_sender(Message.sender());
+  Asked->set_correlation(Message.correlation());
+  if (!Added)
+    return;
   // An id of this process: a call may pass the same entry twice.
-  accept(Shared.nextRequestId(),
-         fromMessage(Message.forwarded_call(), Shared.Timers.now()),
-         [this, Asked](const KeyedAnswer &Value) {
-           Hub.respond(Asked, toEnvelope(Value));
+  accept(Shared.nextRequestId(), fromMessage(Call, Shared.Timers.now()),
+         [this, Key, Asked](const KeyedAnswer &Value) {
+           Received.erase(Key);
+           Hub.respond(*Asked, toEnvelope(Value));
          });
 }
 
@@ -129,8 +139,8 @@
   if (isEntryKey(Call.Key))
     return routeEntryKey(Id);
   const EntryId &Owner = Owners.Owner[shardOfCall(Call)];
-  bool Here = Owner == Shared.Config.Entry ||
-              (Call.Hops >= MaxRecordHops && !Leaving);
+  bool Here =
+      Owner == Shared.Config.Entry || (Call.Hops >= MaxRecordHops && !Leaving);
   if (Here)
     return arriveHere(Id);
   if (Owner.empty() || Call.Hops >= MaxRecordHops)
@@ -204,17 +214,46 @@
   ++Request.Call.Hops;
   Request.ForwardedTo = To;
   Request.Forward = ++LastForward;
+  Request.RepeatWait = FirstRepeat;
   Shared.Counters.count("keyed_calls_forwarded_total");
-  Hub.request(
-      To, toEnvelope(Request.Call, Shared.Timers.now()), Remaining,
-      [this, Weak = std::weak_ptr(Alive), Id, To,
-       Number = Request.Forward](const Outcome<peer::Envelope> &Value) {
-        if (Weak.expired())
-          return;
-        auto Found = Requests.find(Id);
-        if (Found != Requests.end() && Found->second.Forward == Number)
-          forwardEnded(Id, To, Value);
-      });
+  sendForward(Id);
+}
+
+void RecordController::sendForward(const RequestId &Id) {
+  Pending &Request = Requests.at(Id);
+  TimePoint Now = Shared.Timers.now();
+  Request.RepeatAt = Now + Request.RepeatWait;
+  Request.RepeatWait *= 2;
+  Hub.request(EntryId(Request.ForwardedTo), toEnvelope(Request.Call, Now),
+              Request.Call.Plain.Deadline - Now,
+              [this, Weak = std::weak_ptr(Alive), Id, To = Request.ForwardedTo,
+               Number = Request.Forward](const Outcome<peer::Envelope> &Value) {
+                if (Weak.expired())
+                  return;
+                auto Found = Requests.find(Id);
+                if (Found != Requests.end() && Found->second.Forward == Number)
+                  forwardEnded(Id, To, Value);
+              });
+}
+
+// The receiver takes a repeated message for the same call while it has not
+// answered. After that the repeated one is a second delivery, because the
+// answer may be lost.
+void RecordController::repeatForwards() {
+  TimePoint Now = Shared.Timers.now();
+  std::vector<RequestId> Due;
+  for (const auto &[Id, Request] : Requests)
+    if (Request.Forward != 0 && Request.RepeatAt <= Now &&
+        Now < Request.Call.Plain.Deadline)
+      Due.push_back(Id);
+  for (const RequestId &Id : Due) {
+    auto Found = Requests.find(Id);
+    if (Found == Requests.end() || Found->second.Forward == 0)
+      continue;
+    Found->second.Call.MayBeResend = true;
+    Shared.Counters.count("keyed_forwards_repeated_total");
+    sendForward(Id);
+  }
 }
 
 void RecordController::forwardEnded(const RequestId &Id, const EntryId &To,
@@ -236,7 +275,8 @@
                                 UndecidedRetry});
   if (isEntryKey(Request.Call.Key) || Request.Call.Hops >= MaxRecordHops)
     return answerUndecided(Id, Failure->Message);
-  // Nothing was sent, so another entry may take the call as a first delivery.
+  // This message was not sent, so another entry may take the call; MayBeResend
+  // tells it whether an earlier one was.
   Unreachable[To] = Shared.Timers.now() + UnreachableTime;
   updateCandidates();
   if (Requests.contains(Id))
@@ -244,8 +284,7 @@
 }
 
 void RecordController::entryGone(const ConfirmedGone &Gone) {
-  breakForwards(
-      [&](const EntryId &Entry) { return Entry == Gone.Entry; });
+  breakForwards([&](const EntryId &Entry) { return Entry == Gone.Entry; });
 }
 
 void RecordController::breakForwards(
@@ -324,8 +363,7 @@
                  CallNotRun{ResultCode::DeadlineTooShort});
   PlainRequest Plain = Found->second.Call.Plain;
   Plain.Repeatable = false;
-  CrashCheck Check =
-      checkCrashes(Parts.Crashes.suspects(), Plain.Print, Now);
+  CrashCheck Check = checkCrashes(Parts.Crashes.suspects(), Plain.Print, Now);
   if (Check.Verdict == CrashVerdict::Refuse)
     return ended(Place, Action.Attempt,
                  CallNotRun{ResultCode::CrashesUpstreams});
--- a/test/Daemon/RecordControllerTest.cpp
+++ b/test/Daemon/RecordControllerTest.cpp
@@ -27,23 +27,54 @@
   const Json None = Json::object();
   const std::vector<Row> Rows = {
       {"no fault", None, None, ResultCode::Ok, ResultCode::Ok, 1},
-      {"write done, answer lost", {{"loseAnswers", 1}}, None, ResultCode::Ok,
-       ResultCode::Ok, 1},
-      {"write lost", {{"loseRequests", 1}}, None, ResultCode::Ok,
-       ResultCode::Ok, 1},
+      {"write done, answer lost",
+       {{"loseAnswers", 1}},
+       None,
+       ResultCode::Ok,
+       ResultCode::Ok,
+       1},
+      {"write lost",
+       {{"loseRequests", 1}},
+       None,
+       ResultCode::Ok,
+       ResultCode::Ok,
+       1},
       {"write later, answer lost",
        {{"delayWrites", 1}, {"delayWritesMs", 20}},
-       None, ResultCode::Ok, ResultCode::Ok, 1},
-      {"platform down", {{"outage", true}}, None, ResultCode::OutcomeUnknown,
-       ResultCode::Ok, 1},
-      {"platform cut off", {{"unreachable", true}}, None,
-       ResultCode::OutcomeUnknown, ResultCode::Ok, 1},
-      {"service answer lost", None, {{"loseAnswers", 1}},
-       ResultCode::UpstreamLost, ResultCode::OutcomeUnknown, 1},
-      {"service failed", None, {{"fail", 1}}, ResultCode::Ok, ResultCode::Ok,
+       None,
+       ResultCode::Ok,
+       ResultCode::Ok,
+       1},
+      {"platform down",
+       {{"outage", true}},
+       None,
+       ResultCode::OutcomeUnknown,
+       ResultCode::Ok,
+       1},
+      {"platform cut off",
+       {{"unreachable", true}},
+       None,
+       ResultCode::OutcomeUnknown,
+       ResultCode::Ok,
+       1},
+      {"service answer lost",
+       None,
+       {{"loseAnswers", 1}},
+       ResultCode::UpstreamLost,
+       ResultCode::OutcomeUnknown,
+       1},
+      {"service failed",
+       None,
+       {{"fail", 1}},
+       ResultCode::Ok,
+       ResultCode::Ok,
+       1},
+      {"service refuses",
+       None,
+       {{"refuse", 9}},
+       ResultCode::UpstreamRefused,
+       ResultCode::Ok,
        1},
-      {"service refuses", None, {{"refuse", 9}}, ResultCode::UpstreamRefused,
-       ResultCode::Ok, 1},
   };
   for (const Row &Case : Rows) {
     SCOPED_TRACE(Case.Name);
@@ -103,8 +134,7 @@
   setFaults({{"delayMs", 100}});
   std::string Key = keyOwnedBy(1);
   Ask First = start(0, Key, "body");
-  while (Entries[1]->Records->callsInProgress() == 0)
-    Io.run_one_for(std::chrono::milliseconds(5));
+  runUntil([&] { return Entries[1]->Records->callsInProgress() == 1; });
   kill(1);
   runUntil([&] { return First->Answers > 0; });
   EXPECT_EQ(First->code(), number(ResultCode::OutcomeUnknown));
@@ -120,9 +150,8 @@
   kill(1, false); // the message arrives nowhere
   Ask First = start(0, Key, "sent");
   bool Waited = false;
-  auto Wait = Entries[0]->Shared.Timers.after(milliseconds(50), [&] {
-    Waited = true;
-  });
+  auto Wait =
+      Entries[0]->Shared.Timers.after(milliseconds(50), [&] { Waited = true; });
   runUntil([&] { return Waited; });
   EXPECT_EQ(First->Answers, 0);
   kill(1);
@@ -200,8 +229,7 @@
   std::string Key = keyOwnedBy(1);
   Ask Running = start(0, Key, "body");
   RecordController &Ending = *Entries[1]->Records;
-  while (Ending.callsInProgress() == 0)
-    Io.run_one_for(std::chrono::milliseconds(5));
+  runUntil([&] { return Ending.callsInProgress() == 1; });
   EXPECT_EQ(Ending.shardsLeft(), 1u);
   Ending.handOver();
   runUntil([&] {
--- a/test/Daemon/RecordWorld.h
+++ b/test/Daemon/RecordWorld.h
@@ -4,6 +4,7 @@
 #define SAMPHIREHILL_TEST_DAEMON_RECORDWORLD_H
 
 #include "Standins/StandinFixture.h"
+#include "peer.pb.h"
 #include "samphirehill/Config/Secret.h"
 #include "samphirehill/Daemon/RecordController.h"
 #include "standin-platform/Platform.h"
@@ -94,7 +95,8 @@
         Io, "127.0.0.1:0",
         [this](const auto &From, const auto &To) { Stored.handle(From, To); });
     PlatformAddress = "127.0.0.1:" + std::to_string(PlatformServer->port());
-    serve([this](const auto &From, const auto &To) { Booked.handle(From, To); });
+    serve(
+        [this](const auto &From, const auto &To) { Booked.handle(From, To); });
     Boot = BootId(body(call("GET", "/status")).at("bootId"));
     makeText();
     std::vector<PeerAddress> Addresses;
@@ -109,8 +111,10 @@
       Entries.push_back(std::make_unique<Process>(*this, I, Config));
     }
     createShards();
-    for (auto &Each : Entries) {
+    for (auto &Each : Entries)
       Each->Hub->setPeers(Addresses);
+    connectEntries();
+    for (auto &Each : Entries) {
       addUpstream(*Each);
       Each->Records = std::make_unique<RecordController>(
           Each->parts(), *Each->Hub, *Each->Store, Texts,
@@ -146,7 +150,8 @@
   void addUpstream(Process &Of) {
     UpstreamId Name("booking-" + Of.Shared.Config.Entry.str());
     UpstreamStatus Status;
-    Status.Info = {Name, ZoneId("mu-1"), ServiceId("booking"), "", {}, Boot, 64};
+    Status.Info = {Name, ZoneId("mu-1"), ServiceId("booking"), "", {}, Boot,
+                   64};
     Status.Address = Address;
     Status.Serving = true;
     Of.Directory.put(Status, Of.Shared.Timers.now(), seconds(3600));
@@ -161,10 +166,34 @@
     Of.Credits.open(Opening);
   }
 
+  // Returns once each entry has heard each other one: messages are lost until
+  // their connection stands.
+  void connectEntries() {
+    std::set<std::pair<std::string, std::string>> Heard;
+    for (auto &Each : Entries)
+      Each->Hub->Received.connect(
+          [&Heard, this, To = Each->Shared.Config.Entry.str()](
+              const peer::Envelope &Message) {
+            if (Connecting)
+              Heard.insert({Message.sender(), To});
+          });
+    auto Send = [&] {
+      peer::Envelope Message;
+      Message.mutable_heartbeat();
+      for (auto &From : Entries)
+        for (auto &To : Entries)
+          From->Hub->send(To->Shared.Config.Entry, Message);
+    };
+    auto Repeat = Entries[0]->Shared.Timers.every(milliseconds(20), Send);
+    std::size_t All = Entries.size() * (Entries.size() - 1);
+    runUntil([&] { return Heard.size() == All; });
+    Connecting = false;
+  }
+
   static std::uint16_t freePort() {
     asio::io_context Context;
-    asio::ip::tcp::acceptor Acceptor(
-        Context, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::acceptor Acceptor(Context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
     return Acceptor.local_endpoint().port();
   }
 
@@ -281,6 +310,7 @@
   std::set<EntryId> Gone;
   std::vector<std::unique_ptr<Process>> Entries;
   int LastKey = 0;
+  bool Connecting = true;
 };
 
 } // namespace samphirehill
