--- a/lib/Ctl/CloseRun.cpp
+++ b/lib/Ctl/CloseRun.cpp
@@ -223,11 +223,14 @@
         ++Deleted;
       if (!goOn())
         return std::nullopt;
-      // The order matters: zones/state goes last, so nothing is deleted after
-      // a failure until a new read.
-      if (Failure && Failure->Code != ResultCode::NotFound)
-        return Error{Failure->Code, "deleting " + Each.Kind + "/" + Each.Name +
-                                        ": " + Failure->Message};
+      if (!Failure || Failure->Code == ResultCode::NotFound)
+        continue;
+      // zones/state goes last, so nothing more is deleted until a new read. An
+      // entry may have updated the object since it was read.
+      if (Failure->Code == ResultCode::Conflict)
+        return std::nullopt;
+      return Error{Failure->Code, "deleting " + Each.Kind + "/" + Each.Name +
+                                      ": " + Failure->Message};
     }
     return std::nullopt;
   }
--- a/lib/Ctl/StatusReport.cpp
+++ b/lib/Ctl/StatusReport.cpp
@@ -47,8 +47,8 @@
 }
 
 void mergeTexts(Json &Merged, const Json &Status) {
-  for (const auto &[Operator, Version] :
-       Status.value("inForce", Json::object()).items()) {
+  const Json Texts = Status.value("inForce", Json::object());
+  for (const auto &[Operator, Version] : Texts.items()) {
     Json &Best = Merged["inForce"][Operator];
     if (!Best.is_object())
       Best = {{"version", Version}, {"behind", Json::array()}};
@@ -66,8 +66,8 @@
 
 void mergeZones(Json &Merged, std::map<std::string, SharedVersion> &Stamps,
                 const Json &Status) {
-  for (const auto &[Zone, State] :
-       Status.value("zones", Json::object()).items()) {
+  const Json Zones = Status.value("zones", Json::object());
+  for (const auto &[Zone, State] : Zones.items()) {
     SharedVersion Stamp = versionIn(Status, {ZoneKind, Zone});
     auto Found = Stamps.find(Zone);
     if (Found != Stamps.end() && Found->second >= Stamp)
--- a/test/Ctl/CloseRunTest.cpp
+++ b/test/Ctl/CloseRunTest.cpp
@@ -113,6 +113,19 @@
   }
 }
 
+// Guards against a close that fails because a controller that is about to stop
+// updates its object once more.
+TEST_F(CloseRunTest, ReadsAgainWhenObjectWasUpdated) {
+  BeforeWrite = [&](const standin::Request &From) {
+    if (From.Path != "/objects/placement/mu-1")
+      return;
+    BeforeWrite = nullptr;
+    put("placement/mu-1", 1, {{"fence", 2}});
+  };
+  EXPECT_EQ(code(close()), ResultCode::Ok);
+  EXPECT_EQ(objectCount(), 0u);
+}
+
 // Guards against an outage that a run without --wait reports as done.
 TEST_F(CloseRunTest, FailsWithoutWaitDuringOutage) {
   faults({{"outage", true}});
