Pass calls on when the owner of their record stays silent

An entry that is a candidate but can't be reached, for example one of another zone, never failed a forward: the peer link drops such messages silently. The receiver now answers repetitions, and after 1.5 s without any answer the call is passed on as a resend.

--- a/include/samphirehill/Daemon/RecordController.h
+++ b/include/samphirehill/Daemon/RecordController.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -111,6 +112,7 @@
     std::uint64_t Forward = 0; // number of the forward under way
     TimePoint RepeatAt;        // when its message is sent again
     Duration RepeatWait{};
+    TimePoint HeardAt; // when its receiver was last known to have it
   };
   // A forward as its receiver sees it: sender, request id and hops.
   using ForwardKey = std::tuple<std::string, std::string, std::uint32_t>;
@@ -171,9 +173,8 @@
   bool Feeding = false;
   EntryKeys Keys;
   std::map<RequestId, Pending> Requests;
-  // Forwards from other entries that are not answered yet, and what to answer:
-  // the last message of each.
-  std::map<ForwardKey, std::shared_ptr<peer::Envelope>> Received;
+  // Forwards from other entries that are not answered yet.
+  std::set<ForwardKey> Received;
   std::uint64_t LastForward = 0;
   std::size_t CallsOut = 0;
   bool Leaving = false;
--- a/lib/Daemon/RecordControllerCalls.cpp
+++ b/lib/Daemon/RecordControllerCalls.cpp
@@ -22,6 +22,11 @@
 // A message to a peer is lost while its connection is down, so a forward that
 // is not answered is sent again after this time, which doubles each time.
 constexpr Duration FirstRepeat = milliseconds(250);
+constexpr Duration MaxRepeat = seconds(1);
+// An entry that has answered neither a forward nor its repetitions for this
+// time is taken for unreachable. It may be paused, so the call is passed on as
+// a resend.
+constexpr Duration ForwardSilence = milliseconds(1500);
 
 // What must be equal for two requests under one key to be the same call.
 std::uint64_t bodyHashOf(const PlainRequest &Request) {
@@ -111,19 +116,16 @@
   const peer::ForwardedCall &Call = Message.forwarded_call();
   ForwardKey Key(Message.sender() + "." + std::to_string(Message.incarnation()),
                  Call.request_id(), Call.hops());
-  auto [Found, Added] = Received.try_emplace(Key);
-  if (Added)
-    Found->second = std::make_shared<peer::Envelope>();
-  std::shared_ptr<peer::Envelope> Asked = Found->second;
-  Asked->set_sender(Message.sender());
-  Asked->set_correlation(Message.correlation());
-  if (!Added)
-    return;
+  if (!Received.insert(Key).second)
+    return Hub.respond(Message, inProgressEnvelope());
+  peer::Envelope Asked;
+  Asked.set_sender(Message.sender());
+  Asked.set_correlation(Message.correlation());
   // An id of this process: a call may pass the same entry twice.
   accept(Shared.nextRequestId(), fromMessage(Call, Shared.Timers.now()),
          [this, Key, Asked](const KeyedAnswer &Value) {
            Received.erase(Key);
-           Hub.respond(*Asked, toEnvelope(Value));
+           Hub.respond(Asked, toEnvelope(Value));
          });
 }
 
@@ -215,6 +217,7 @@
   Request.ForwardedTo = To;
   Request.Forward = ++LastForward;
   Request.RepeatWait = FirstRepeat;
+  Request.HeardAt = Shared.Timers.now();
   Shared.Counters.count("keyed_calls_forwarded_total");
   sendForward(Id);
 }
@@ -223,7 +226,7 @@
   Pending &Request = Requests.at(Id);
   TimePoint Now = Shared.Timers.now();
   Request.RepeatAt = Now + Request.RepeatWait;
-  Request.RepeatWait *= 2;
+  Request.RepeatWait = std::min(Request.RepeatWait * 2, MaxRepeat);
   Hub.request(EntryId(Request.ForwardedTo), toEnvelope(Request.Call, Now),
               Request.Call.Plain.Deadline - Now,
               [this, Weak = std::weak_ptr(Alive), Id, To = Request.ForwardedTo,
@@ -251,6 +254,14 @@
     if (Found == Requests.end() || Found->second.Forward == 0)
       continue;
     Found->second.Call.MayBeResend = true;
+    const EntryId To = Found->second.ForwardedTo;
+    if (Now - Found->second.HeardAt >= ForwardSilence &&
+        !isEntryKey(Found->second.Call.Key)) {
+      // This breaks all forwards to the entry.
+      Unreachable[To] = Now + UnreachableTime;
+      updateCandidates();
+      continue;
+    }
     Shared.Counters.count("keyed_forwards_repeated_total");
     sendForward(Id);
   }
@@ -259,15 +270,20 @@
 void RecordController::forwardEnded(const RequestId &Id, const EntryId &To,
                                     const Outcome<peer::Envelope> &Value) {
   Pending &Request = Requests.at(Id);
-  Request.Forward = 0;
-  Request.ForwardedTo = EntryId();
   const Error *Failure = errorOf(Value);
   if (!Failure) {
     const auto &Message = std::get<peer::Envelope>(Value);
+    if (Message.has_forwarded_answer() &&
+        isInProgress(Message.forwarded_answer())) {
+      Request.HeardAt = Shared.Timers.now();
+      return;
+    }
     if (Message.has_forwarded_answer())
       return answer(Id, fromMessage(Message.forwarded_answer()));
     return answerUndecided(Id, "entry " + To.str() + " gave another answer");
   }
+  Request.Forward = 0;
+  Request.ForwardedTo = EntryId();
   if (Failure->Code != ResultCode::ConnectFailed)
     return answer(AnswerRefusal{Id, ResultCode::DeadlineExceeded,
                                 "the call was passed on to entry " + To.str() +
--- a/lib/Daemon/RecordMessages.cpp
+++ b/lib/Daemon/RecordMessages.cpp
@@ -89,6 +89,16 @@
   return Envelope;
 }
 
+peer::Envelope inProgressEnvelope() {
+  peer::Envelope Envelope;
+  Envelope.mutable_forwarded_answer();
+  return Envelope;
+}
+
+bool isInProgress(const peer::ForwardedAnswer &Message) {
+  return Message.result_code() == 0 && Message.status() == 0;
+}
+
 KeyedAnswer fromMessage(const peer::ForwardedAnswer &Message) {
   KeyedAnswer Answer;
   Answer.Code = static_cast<ResultCode>(Message.result_code());
--- a/lib/Daemon/RecordMessages.h
+++ b/lib/Daemon/RecordMessages.h
@@ -13,6 +13,9 @@
 KeyedCall fromMessage(const peer::ForwardedCall &Message, TimePoint Now);
 
 peer::Envelope toEnvelope(const KeyedAnswer &Answer);
+// The answer to a repeated ForwardedCall whose first message has arrived.
+peer::Envelope inProgressEnvelope();
+bool isInProgress(const peer::ForwardedAnswer &Message);
 KeyedAnswer fromMessage(const peer::ForwardedAnswer &Message);
 
 } // namespace samphirehill
--- a/test/Daemon/RecordControllerTest.cpp
+++ b/test/Daemon/RecordControllerTest.cpp
@@ -143,8 +143,8 @@
   runUntil([&] { return executions()["body"] == 1; });
 }
 
-// Guards against a call that is lost with the message that carried it, and
-// against `may have run` where nothing was sent.
+// Guards against a call that is lost with the message that carried it, whether
+// the receiver is known to have ended or only never answers.
 TEST_F(RecordControllerTest, PassesCallOnWhenForwardBreaks) {
   std::string Key = keyOwnedBy(1);
   kill(1, false); // the message arrives nowhere
@@ -235,6 +235,7 @@
   runUntil([&] {
     return Ending.shardsLeft() == 0 && Ending.callsInProgress() == 0;
   });
+  runUntil([&] { return Running->Answers > 0; });
   EXPECT_EQ(Running->code(), Ok);
   Ask Resent = ask(1, Key, "body");
   EXPECT_EQ(Resent->code(), Ok);
