--- a/lib/Daemon/RecordControllerCalls.cpp
+++ b/lib/Daemon/RecordControllerCalls.cpp
@@ -245,23 +245,26 @@
 void RecordController::repeatForwards() {
   TimePoint Now = Shared.Timers.now();
   std::vector<RequestId> Due;
-  for (const auto &[Id, Request] : Requests)
-    if (Request.Forward != 0 && Request.RepeatAt <= Now &&
-        Now < Request.Call.Plain.Deadline)
+  bool Silent = false;
+  for (auto &[Id, Request] : Requests) {
+    if (Request.Forward == 0 || Now >= Request.Call.Plain.Deadline)
+      continue;
+    if (Now - Request.HeardAt >= ForwardSilence &&
+        !isEntryKey(Request.Call.Key)) {
+      Unreachable[Request.ForwardedTo] = Now + UnreachableTime;
+      Silent = true;
+    } else if (Request.RepeatAt <= Now) {
       Due.push_back(Id);
+    }
+  }
+  // This breaks all forwards to the silent entries.
+  if (Silent)
+    updateCandidates();
   for (const RequestId &Id : Due) {
     auto Found = Requests.find(Id);
     if (Found == Requests.end() || Found->second.Forward == 0)
       continue;
     Found->second.Call.MayBeResend = true;
-    const EntryId To = Found->second.ForwardedTo;
-    if (Now - Found->second.HeardAt >= ForwardSilence &&
-        !isEntryKey(Found->second.Call.Key)) {
-      // This breaks all forwards to the entry.
-      Unreachable[To] = Now + UnreachableTime;
-      updateCandidates();
-      continue;
-    }
     Shared.Counters.count("keyed_forwards_repeated_total");
     sendForward(Id);
   }
@@ -311,9 +314,13 @@
       continue;
     Broken.push_back(Id);
   }
-  for (const RequestId &Id : Broken)
-    if (Requests.contains(Id))
+  for (const RequestId &Id : Broken) {
+    // An earlier one may have changed the candidates and so passed this one on.
+    auto Found = Requests.find(Id);
+    if (Found != Requests.end() && Found->second.Forward != 0 &&
+        IsBroken(Found->second.ForwardedTo))
       forwardBroke(Id);
+  }
 }
 
 void RecordController::forwardBroke(const RequestId &Id) {
--- a/test/Daemon/RecordControllerTest.cpp
+++ b/test/Daemon/RecordControllerTest.cpp
@@ -243,6 +243,43 @@
   EXPECT_EQ(Ending.shardsLeft(), 0u);
 }
 
+// Guards against shards that are given to entries nobody can reach, and against
+// entries of a zone that all disagree because only its relay hears others.
+TEST(RecordCandidatesTest, LeavesOutUnreachableEntries) {
+  TimePoint Now{seconds(100)};
+  LivenessState State =
+      makeLiveness(Member{EntryId("b"), ZoneId("z1")}, 1, {}, Now);
+  auto Add = [&](const char *Name, const char *Zone, Health Heard) {
+    PeerRecord &Added = State.Peers[EntryId(Name)];
+    Added.Known = Member{EntryId(Name), ZoneId(Zone)};
+    Added.Listed = true;
+    Added.State = Heard;
+    Added.LastHeard = Now - seconds(60);
+  };
+  Add("c", "z1", Health::Alive);
+  Add("d", "z1", Health::Suspect);
+  Add("e", "z1", Health::Down);
+  Add("f", "z1", Health::Unheard);
+  Add("g", "z1", Health::Alive);
+  State.Peers[EntryId("g")].Known.Leaving = true;
+  Add("h", "z2", Health::Unheard);
+  State.RemoteRelays[ZoneId("z2")] = EntryId("h");
+  auto Names = [&] {
+    std::string Joined;
+    for (const EntryId &Each : recordCandidates(State, Now))
+      Joined += Each.str();
+    return Joined;
+  };
+  EXPECT_EQ(Names(), "bcd"); // the relay has lost zone z2
+  State.Peers[EntryId("h")].LastHeard = Now;
+  EXPECT_EQ(Names(), "bcdh");
+  State.Peers[EntryId("h")].LastHeard = Now - seconds(60);
+  Add("a", "z1", Health::Alive); // the relay now; this entry hears no summary
+  EXPECT_EQ(Names(), "abcdh");
+  State.Self.Leaving = true;
+  EXPECT_EQ(Names(), "acdh");
+}
+
 class RecordBookingsTest : public RecordControllerTest {
 protected:
   struct Booking {
