--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -50,12 +50,19 @@
   const std::map<InstanceId, Instance> &instances() const { return Instances; }
   bool joined() const { return State.IsJoined; }
   bool platformReachable() const { return PlatformReachable; }
+  // A call to the platform failed with Code; a waiting watch notices an outage
+  // late.
+  void noteFailure(ResultCode Code);
 
   // Takes a zone state ("in" or "out") or the close mark from an operator.
   // Returns the stamp under which it is in force here.
   SharedVersion setByOperator(const SharedKey &Key, const std::string &Value,
                               const std::string &Operator);
 
+  // Takes a value with a stamp that an operator gave to several entries.
+  // Returns the stamp in force here, a higher one if Item's is not.
+  SharedVersion setByOperator(const SharedItem &Item);
+
   // Offers an object that was just written, so that peers learn it at once.
   void offer(const SharedItem &Item);
 
