Wire stragglers and cache events; keep refusals true for keys

Slow upstreams get a factor in the router's score and slow engines are replaced within the planner's bounds; the home of a group shares its cache events. An entry that can't look an idempotency key up says that the outcome is unknown instead of not run.

--- a/include/samphirehill/Daemon/PlacementController.h
+++ b/include/samphirehill/Daemon/PlacementController.h
@@ -51,6 +51,7 @@
   void lead();
   void planAndStore();
   PlannerInput plannerInput();
+  std::set<InstanceId> enginesToReplace(const EngineReports &Reports);
   void store(const Placement &Next, const std::string &Reason);
   void stored(const Placement &Next, const std::string &WriteId,
               const Outcome<std::uint64_t> &Value);
@@ -91,7 +92,8 @@
 
   OrdersState Orders;
   GroupHealthState Healths;
-  std::map<ServiceId, StragglerState> Stragglers;
+  std::map<ServiceId, StragglerState> SlowEngines;
+  std::set<InstanceId> Replacing; // still in their groups
   std::set<EntryRun> GoneEntries;
   std::deque<PastBorrower> Past;
   std::map<UpstreamId, std::pair<BootId, bool>> Seen; // boot id, warm
--- a/include/samphirehill/Daemon/RequestPath.h
+++ b/include/samphirehill/Daemon/RequestPath.h
@@ -35,6 +35,7 @@
 
 private:
   std::optional<Refusal> filter(RequestContext &Request);
+  static Refusal refuseUnread(const RequestContext &Request, Refusal Refused);
   void serve(RequestContext Request);
   void serveModels(RequestContext &Request);
   void servePlain(RequestContext Request);
--- a/include/samphirehill/Daemon/UpstreamDirectory.h
+++ b/include/samphirehill/Daemon/UpstreamDirectory.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Routing/PrefixHints.h"
 #include "samphirehill/Routing/Router.h"
+#include "samphirehill/Routing/Stragglers.h"
 #include "samphirehill/Routing/UpstreamView.h"
 
 #include <cstddef>
@@ -63,6 +64,10 @@
   bool expire(TimePoint Now);
 
   void holdOff(const UpstreamId &Name, TimePoint Until);
+  // Compares the upstreams of each service and version with their peers, by
+  // their last reports. Call it after each round of probes.
+  void judgeStragglers(TimePoint Now);
+
   void setDoubtful(const UpstreamId &Name, bool Value);
   // Process Boot of the upstream has ended.
   void setCrashed(const UpstreamId &Name, const BootId &Boot);
@@ -92,6 +97,8 @@
   std::map<UpstreamId, DirectoryEntry> ByName;
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<ZoneId> ZonesOut;
+  using Peers = std::pair<ServiceId, std::string>; // service, version
+  std::map<Peers, Stragglers> Slow;
   UpstreamTable Table;
   PrefixHints Hints;
 };
--- a/include/samphirehill/Routing/Stragglers.h
+++ b/include/samphirehill/Routing/Stragglers.h
@@ -21,7 +21,7 @@
 constexpr double MaxStragglerFactor = 8.0;
 
 // What the last report of one upstream says.
-struct RateSample {
+struct UpstreamRate {
   UpstreamId Id;
   double TokensPerSecond = 0;
   std::int64_t Running = 0;
@@ -40,7 +40,7 @@
 // factors are 1. Call it after each round of reports; upstreams without a
 // sample are forgotten.
 std::vector<double> updateStragglers(Stragglers &State,
-                                     const std::vector<RateSample> &Peers,
+                                     const std::vector<UpstreamRate> &Peers,
                                      TimePoint Now);
 
 } // namespace samphirehill
--- a/lib/Daemon/Entry.cpp
+++ b/lib/Daemon/Entry.cpp
@@ -1,5 +1,6 @@
 #include "samphirehill/Daemon/Entry.h"
 
+#include "samphirehill/Daemon/CacheController.h"
 #include "samphirehill/Daemon/OperatorApi.h"
 #include "samphirehill/Daemon/RecordController.h"
 #include "samphirehill/Daemon/RequestPath.h"
@@ -52,6 +53,7 @@
   std::unique_ptr<CreditController> Credits;
   std::unique_ptr<CrashController> Crashes;
   std::unique_ptr<ProbeController> Probes;
+  std::unique_ptr<CacheController> Caches;
   std::unique_ptr<PlacementController> Placements;
   std::unique_ptr<Dispatcher> Dispatch;
   std::unique_ptr<UpstreamCalls> Calls;
@@ -80,6 +82,8 @@
   });
   Probes = std::make_unique<ProbeController>(Shared, *Hub, *Membership,
                                              *Credits, Directory);
+  Caches = std::make_unique<CacheController>(Shared, *Hub, *Membership,
+                                             *Credits, Directory);
   Crashes->Crashed.connect(
       [this](const CrashId &Where) { Probes->probeGroup(Where.Upstream); });
   Placements = std::make_unique<PlacementController>(
--- a/lib/Daemon/PlacementController.cpp
+++ b/lib/Daemon/PlacementController.cpp
@@ -143,6 +143,7 @@
     if (Health.serves())
       Input.Serving.insert(Name);
   Input.Rebooted = rebootedGroups(Judged);
+  Input.Replaced = enginesToReplace(Input.Reports);
   for (const EntryId &Entry : liveZoneEntries(Membership.liveness())) {
     if (Entry == Shared.Config.Entry) {
       if (!LeavingHomes)
@@ -163,6 +164,29 @@
   return Input;
 }
 
+// Leaders stand for their groups: they serve the requests and report the rate.
+std::set<InstanceId>
+PlacementController::enginesToReplace(const EngineReports &Reports) {
+  std::map<ServiceId, std::vector<RateSample>> Samples;
+  for (const Group &Each : Stored->Groups)
+    if (const EngineReport *Leader = findReport(Reports, Each.Members.front()))
+      Samples[Each.Service].push_back(
+          {Leader->Name, Leader->TokensPerSecond, Leader->Running});
+  std::set<InstanceId> Slow;
+  for (const auto &[Of, Rates] : Samples)
+    Slow.merge(findStragglers(SlowEngines[Of], Rates, Shared.Timers.now()));
+  std::erase_if(Replacing, [this](const InstanceId &Name) {
+    return Stored->groupOf(Name) == nullptr;
+  });
+  std::set<InstanceId> Chosen =
+      stragglersToReplace(Slow, static_cast<int>(listedEngines().size()),
+                          static_cast<int>(Replacing.size()));
+  for (const InstanceId &Name : Chosen)
+    if (Replacing.insert(Name).second)
+      Shared.record("straggler", Name.str(), "under half its peers' rate");
+  return Replacing;
+}
+
 void PlacementController::planAndStore() {
   PlannerInput Input = plannerInput();
   Plan Planned = plan(Input);
--- a/lib/Daemon/ProbeController.cpp
+++ b/lib/Daemon/ProbeController.cpp
@@ -82,7 +82,9 @@
   for (const auto &[Name, Target] : Wanted.Instances)
     probe(Target);
   judge();
-  Directory.expire(Shared.Timers.now());
+  TimePoint Now = Shared.Timers.now();
+  Directory.expire(Now);
+  Directory.judgeStragglers(Now);
 }
 
 void ProbeController::probeGroup(const UpstreamId &Name) {
--- a/lib/Daemon/RequestPath.cpp
+++ b/lib/Daemon/RequestPath.cpp
@@ -42,9 +42,21 @@
   serve(std::move(Request));
 }
 
+// A resend under a key that is told "not run" could book again under another
+// key, so an entry that can't look the key up does not say it.
+Refusal RequestPath::refuseUnread(const RequestContext &Request,
+                                  Refusal Refused) {
+  if (findHeader(Request.Exchange->headers(), "Idempotency-Key").empty())
+    return Refused;
+  Refused.Failure.Code = ResultCode::OutcomeUnknown;
+  Refused.Failure.Message +=
+      "; an earlier delivery under this idempotency key may have run";
+  return Refused;
+}
+
 std::optional<Refusal> RequestPath::filter(RequestContext &Request) {
   if (auto Refused = Hooks.Admission())
-    return Refused;
+    return refuseUnread(Request, *Refused);
   if (auto Refused = parseRequest(Request, Parts.Shared.Config))
     return Refused;
   if (auto Refused = authenticate(Request, Texts))
--- a/lib/Daemon/UpstreamDirectory.cpp
+++ b/lib/Daemon/UpstreamDirectory.cpp
@@ -49,6 +49,21 @@
   return Any;
 }
 
+void UpstreamDirectory::judgeStragglers(TimePoint Now) {
+  std::map<Peers, std::vector<UpstreamRate>> Samples;
+  for (const auto &[Name, Entry] : ByName) {
+    const UpstreamStatus &Status = Entry.Status;
+    if (Status.Serving && !Status.Cold && Entry.ValidUntil > Now)
+      Samples[{Status.Info.Service, Status.Info.Version}].push_back(
+          {Name, Status.Load.TokensPerSecond, Status.Load.Running});
+  }
+  for (const auto &[Of, Rates] : Samples) {
+    std::vector<double> Factors = updateStragglers(Slow[Of], Rates, Now);
+    for (std::size_t I = 0; I < Rates.size(); ++I)
+      Table.setStragglerFactor(Rates[I].Id, Factors[I]);
+  }
+}
+
 void UpstreamDirectory::holdOff(const UpstreamId &Name, TimePoint Until) {
   auto Found = ByName.find(Name);
   if (Found == ByName.end())
--- a/lib/Routing/Stragglers.cpp
+++ b/lib/Routing/Stragglers.cpp
@@ -7,17 +7,17 @@
 namespace samphirehill {
 namespace {
 
-bool atEqualLoad(const RateSample &Left, const RateSample &Right) {
+bool atEqualLoad(const UpstreamRate &Left, const UpstreamRate &Right) {
   std::int64_t Larger = std::max(Left.Running, Right.Running);
   return std::abs(Left.Running - Right.Running) <=
          std::max<std::int64_t>(1, Larger / 4);
 }
 
 // Returns the median rate of the peers at equal load, or 0 if they are too few.
-double peerMedian(const std::vector<RateSample> &Peers,
-                  const RateSample &Sample) {
+double peerMedian(const std::vector<UpstreamRate> &Peers,
+                  const UpstreamRate &Sample) {
   std::vector<double> Rates;
-  for (const RateSample &Other : Peers)
+  for (const UpstreamRate &Other : Peers)
     if (Other.Id != Sample.Id && Other.Running > 0 &&
         atEqualLoad(Other, Sample))
       Rates.push_back(Other.TokensPerSecond);
@@ -31,12 +31,12 @@
 } // namespace
 
 std::vector<double> updateStragglers(Stragglers &State,
-                                     const std::vector<RateSample> &Peers,
+                                     const std::vector<UpstreamRate> &Peers,
                                      TimePoint Now) {
   std::vector<double> Factors(Peers.size(), 1.0);
   std::map<UpstreamId, TimePoint> SlowSince;
   for (std::size_t I = 0; I < Peers.size(); ++I) {
-    const RateSample &Sample = Peers[I];
+    const UpstreamRate &Sample = Peers[I];
     // An idle upstream has no rate to judge.
     if (Sample.Running == 0)
       continue;
--- a/test/Routing/StragglersTest.cpp
+++ b/test/Routing/StragglersTest.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 // Returns 8 samples of 4 calls, the first Slow of which have rate Rate.
-std::vector<RateSample> samples(int Slow, double Rate) {
-  std::vector<RateSample> Peers(8, RateSample{UpstreamId(), 400.0, 4});
+std::vector<UpstreamRate> samples(int Slow, double Rate) {
+  std::vector<UpstreamRate> Peers(8, UpstreamRate{UpstreamId(), 400.0, 4});
   for (int I = 0; I < 8; ++I)
     Peers[I].Id = UpstreamId(std::to_string(I));
   for (int I = 0; I < Slow; ++I)
@@ -16,7 +16,7 @@
 }
 
 // Returns the first factor after the samples held for Held.
-double factorAfter(const std::vector<RateSample> &Peers, Duration Held) {
+double factorAfter(const std::vector<UpstreamRate> &Peers, Duration Held) {
   Stragglers State;
   updateStragglers(State, Peers, TimePoint());
   return updateStragglers(State, Peers, TimePoint(Held))[0];
@@ -25,9 +25,9 @@
 // Guards against a factor for a short dip, an idle upstream, a busier one or a
 // fault that is common to all, and against missing a true straggler.
 TEST(StragglersTest, JudgesByTable) {
-  std::vector<RateSample> Idle = samples(1, 0);
+  std::vector<UpstreamRate> Idle = samples(1, 0);
   Idle[0].Running = 0;
-  std::vector<RateSample> Alone = samples(1, 100);
+  std::vector<UpstreamRate> Alone = samples(1, 100);
   Alone[0].Running = 12;
   EXPECT_EQ(factorAfter(samples(1, 100), seconds(10)), 4.0);
   EXPECT_EQ(factorAfter(samples(2, 100), seconds(10)), 4.0);
