--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -97,6 +97,19 @@
                 Shared.Config.Platform.str(), "");
 }
 
+void MembershipController::noteFailure(ResultCode Code) {
+  bool Silent = Code == ResultCode::PlatformUnavailable ||
+                Code == ResultCode::UnknownWriteOutcome;
+  if (!Silent || !PlatformReachable)
+    return;
+  noteReachable(false);
+  // Starts with a new list, which tells when the platform answers again.
+  if (InstanceLoop && !PlatformStopped) {
+    InstanceLoop->stop();
+    InstanceLoop->start();
+  }
+}
+
 void MembershipController::takeInstances(const InstanceList &List) {
   if (List.Complete)
     Instances.clear();
@@ -314,10 +327,14 @@
   std::string ChangeId = Shared.Config.Entry.str() + "." +
                          std::to_string(Shared.Started) + "." +
                          std::to_string(++LastWrite);
-  SharedItem Item{Key, nextStamp(State, Key, Operator, ChangeId), Value};
+  return setByOperator(
+      SharedItem{Key, nextStamp(State, Key, Operator, ChangeId), Value});
+}
+
+SharedVersion MembershipController::setByOperator(const SharedItem &Item) {
   carryOut(
       decide(State, SharedEvent(OperatorChange{Item}), Shared.Timers.now()));
-  return heldVersion(State, Key);
+  return heldVersion(State, Item.Key);
 }
 
 void MembershipController::offer(const SharedItem &Item) {
