Name an address once in errors of calls to entries

The message of a failed call named its address twice, and a change that was given to entries was called stored when it was not in force in time.

Run: CtlTests, 29 of 29 passed; all commands by hand against standin-platform and two daemons, with an outage.

--- a/lib/Ctl/InForce.cpp
+++ b/lib/Ctl/InForce.cpp
@@ -91,7 +91,7 @@
   }
   if (!Names.empty())
     Result.Failure =
-        Error{ResultCode::Timeout, "stored, but not in force after " +
+        Error{ResultCode::Timeout, "not in force after " +
                                        std::to_string(toMilliseconds(Wait)) +
                                        " ms at " + Names};
   return Result;
--- a/lib/Ctl/VentureClient.cpp
+++ b/lib/Ctl/VentureClient.cpp
@@ -17,7 +17,7 @@
 JsonAnswer answerOf(const std::string &Url,
                     const Outcome<HttpResponse> &Response) {
   if (const Error *Failure = errorOf(Response))
-    return Error{Failure->Code, Url + ": " + Failure->Message};
+    return *Failure; // names the address
   const HttpResponse &Answer = std::get<0>(Response);
   Json Body = Json::parse(Answer.Body, nullptr, false);
   if (Answer.Status == 200 && !Body.is_discarded())
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -66,7 +66,8 @@
   bool Valid = Stamp.is_object() && Stamp.contains("counter") &&
                Stamp["counter"].is_number_unsigned() && Stamp["counter"] >= 1 &&
                Stamp["counter"] <= MaxCounter && Stamp.contains("origin") &&
-               Stamp["origin"].is_string() && Stamp["origin"] != "";
+               Stamp["origin"].is_string() &&
+               !Stamp["origin"].get_ref<const std::string &>().empty();
   if (!Valid)
     return Error{ResultCode::BadRequest,
                  R"(stamp must be {"counter": 1 to 2^53 - 1, "origin": )"
