Answer long headers with a code; stop admission after a close seen late

Cause: the HTTP parser closed connections with headers over 80 KiB before the entry could answer 431, and an entry that saw only the deletion of zones/state went on admitting. Change: the parser takes 256 KiB; either sign of the close stops admission.

--- a/include/samphirehill/Net/HttpServer.h
+++ b/include/samphirehill/Net/HttpServer.h
@@ -52,7 +52,7 @@
   std::uint16_t Port = 0;            // 0: chosen by the system
   // A message beyond these is cut off by closing its connection. They bound
   // memory; finer limits with a proper answer belong to the handler.
-  std::size_t MaxHeaderBytes = 64 * 1024;
+  std::size_t MaxHeaderBytes = 256 * 1024;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
   // Time for a whole request to arrive.
   Duration ReadTimeout = seconds(15);
--- a/lib/Daemon/Entry.cpp
+++ b/lib/Daemon/Entry.cpp
@@ -37,6 +37,7 @@
   void putText(const SharedItem &Item);
   std::optional<Refusal> refusalNow() const;
   bool ready() const;
+  bool closesNow() const;
   void tick();
   void followClose();
   void followShutdown();
@@ -143,7 +144,7 @@
 }
 
 std::optional<Refusal> Entry::Parts::refusalNow() const {
-  if (closing(Membership->shared()))
+  if (closesNow())
     return Refusal{Error{ResultCode::Closing, "the venture is closing"}};
   if (ShuttingDown)
     return Refusal{Error{ResultCode::ShuttingDown,
@@ -156,6 +157,11 @@
   return std::nullopt;
 }
 
+// An entry that was cut off through the whole close sees only the deletion.
+bool Entry::Parts::closesNow() const {
+  return closing(Membership->shared()) || ZonesObjectDeleted;
+}
+
 bool Entry::Parts::ready() const {
   return Membership->joined() && !ShuttingDown && !Texts.texts().empty();
 }
@@ -189,7 +195,7 @@
                       static_cast<double>(Peers.ReceivedBytes));
   Shared.Counters.set("peer_sent_messages",
                       static_cast<double>(Peers.SentMessages));
-  if (closing(Membership->shared()))
+  if (closesNow())
     followClose();
   if (ShuttingDown)
     followShutdown();
@@ -197,7 +203,7 @@
 
 void Entry::Parts::followClose() {
   EntryCloseView View;
-  View.MarkSet = true;
+  View.MarkSet = closing(Membership->shared());
   View.ZonesObjectDeleted = ZonesObjectDeleted;
   View.RequestsInProgress = inProgress() + Calls->count();
   View.ControlsZone = Placements->controls();
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Net/HttpServer.h"
 
 #include <exception>
+#include <http_parser.h>
 #include <optional>
 #include <restinio/all.hpp>
 #include <utility>
@@ -128,6 +129,10 @@
 private:
   restinio::server_settings_t<ServerTraits>
   settings(const HttpServerOptions &Options, HttpHandler Handler) {
+    // The parser's own limit of 80 KiB would close the connection of a request
+    // that is to get a proper answer. It is one value for the whole process.
+    http_parser_set_max_header_size(
+        static_cast<std::uint32_t>(Options.MaxHeaderBytes));
     auto Limits = restinio::incoming_http_msg_limits_t{}
                       .max_url_size(Options.MaxHeaderBytes)
                       .max_field_name_size(Options.MaxHeaderBytes)
