--- a/scripts/measures.py
+++ b/scripts/measures.py
@@ -275,6 +275,15 @@
         highest = max(each.get("highestCold", 0) for each in counts)
         crashes = sum(each.get("crashes", 0) for each in counts)
         base = self.cold_baseline()
+        for label, names in (("with a new boot id", leaders[0::2]),
+                             ("with the same boot id", leaders[1::2])):
+            found = [self.fleet.control(self.fleet.processes[name], "counters")
+                     for name in names]
+            worst = max(each.get("highestCold", 0) for each in found)
+            self.table.add(f"(h) most work on {len(names)} engines cold {label}",
+                           "<= cold limit 2", worst,
+                           f"crashes {sum(each.get('crashes', 0) for each in found)}",
+                           worst <= 2)
         self.table.add("(h) most work on a cold engine in the whole run",
                        "<= cold limit 2", highest, f"direct calls: {base[0]}", highest <= 2)
         self.table.add("(h) crashes of engines in the whole run", "0", crashes,
