Check shutdown at the instant the process ends

Cause: in a scratch trial in which the shutdown was over at once, the test let the process run on until its streams had ended, and passed.

Change: the test destroys the entry as soon as its shutdown is over.

--- a/test/System/EntryChangeTest.cpp
+++ b/test/System/EntryChangeTest.cpp
@@ -58,25 +58,26 @@
   StreamPtr Refused = stream(Leaving, "late", 5);
   ASSERT_TRUE(ended({Refused}, seconds(2)));
   EXPECT_EQ(Refused->errorCode(), 1013);
-  EXPECT_TRUE(until(
+  // The process ends as soon as its shutdown is over.
+  bool Over = until(
       [&] {
         keepLoad({Staying}, 3, 50);
         return Node.ShutDown;
       },
-      seconds(10)))
-      << "the shutdown does not end";
+      seconds(10));
+  kill(Leaving);
+  EXPECT_TRUE(Over) << "the shutdown does not end";
   ASSERT_TRUE(ended(Cut, seconds(1)));
   for (const StreamPtr &Each : Cut)
     checkWhole(*Each);
-  kill(Leaving);
   listInstance({{"id", Leaving}, {"state", "gone"}});
-  EXPECT_TRUE(until(
+  bool Reached = until(
       [&] {
         keepLoad({Staying}, 12, 20);
         return sum("outstanding") == Shape.WarmLimit;
       },
-      seconds(10)))
-      << "the limit is not reached again; outstanding " << sum("outstanding");
+      seconds(10));
+  EXPECT_TRUE(Reached) << "outstanding at the end: " << sum("outstanding");
   std::vector<StreamPtr> Streams = takeLoad();
   ended(Streams, seconds(10));
   for (const StreamPtr &Each : Streams)
