Fix lint findings in the system tests

Cause: the linter refused an include order and two unreserved vectors.

Change: as it asks; no test does anything else.

--- a/test/System/EntryChangeTest.cpp
+++ b/test/System/EntryChangeTest.cpp
@@ -11,6 +11,7 @@
     form({});
     platformFaults({{Fault, true}});
     std::vector<StreamPtr> Before;
+    Before.reserve(4);
     for (int I = 0; I < 4; ++I)
       Before.push_back(stream(entryIds()[0], "down " + std::to_string(I), 10));
     ended(Before, seconds(5));
--- a/test/System/Fleet.h
+++ b/test/System/Fleet.h
@@ -16,6 +16,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+
 #include <gtest/gtest.h>
 
 #include <functional>
--- a/test/System/OverloadTest.cpp
+++ b/test/System/OverloadTest.cpp
@@ -27,6 +27,7 @@
   learn(Entry);
   std::int64_t Before = sum("streams");
   std::vector<StreamPtr> Streams;
+  Streams.reserve(80);
   for (int I = 0; I < 80; ++I)
     Streams.push_back(stream(Entry, "flood " + std::to_string(I), 20,
                              {{"X-Deadline-Ms", "2000"}}));
