--- a/bench/capacity/Messages.cpp
+++ b/bench/capacity/Messages.cpp
@@ -39,6 +39,21 @@
   return Message;
 }
 
+peer::Envelope cacheEvents(std::size_t Count) {
+  peer::Envelope Message;
+  peer::CacheEvents &Body = *Message.mutable_cache_events();
+  Body.set_upstream(upstreamStatus(1).Info.Id.str());
+  Body.set_boot_id(upstreamStatus(1).Info.Boot.str());
+  Body.set_oldest(1'000'000);
+  for (std::size_t I = 0; I < Count; ++I) {
+    peer::CacheEvent &Added = *Body.add_events();
+    Added.set_sequence(1'000'000 + I);
+    Added.set_stored(I % 2 == 0);
+    Added.set_prefix("0123456789abcdef");
+  }
+  return Message;
+}
+
 } // namespace
 
 void measureMessages() {
@@ -67,6 +82,12 @@
   report("build and encode upstream reports", "us", "upstreams", Encode, 13.5);
   report("decode upstream reports", "us", "upstreams", Decode, 13.5);
 
+  std::vector<Point> Events;
+  for (std::size_t Count : {16, 128, 1024})
+    Events.push_back(
+        {static_cast<double>(Count), wireBytes(cacheEvents(Count))});
+  report("cache events", "bytes", "events", Events, 295);
+
   std::vector<Point> ByEngines;
   for (std::size_t Engines : {4, 16, 56})
     ByEngines.push_back(
