Give header cases of the filter table a valid body

Four cases had the body {}, which is refused with the same code, so they could not fail. With a valid body each fails when its check is removed (trial).

--- a/test/Daemon/FiltersTest.cpp
+++ b/test/Daemon/FiltersTest.cpp
@@ -72,6 +72,8 @@
 }
 
 using Code = ResultCode;
+// A body with no fault, so that only the header is refused.
+const std::string Whole = R"({"model":"notes-70b","prompt":"lamp"})";
 const std::string Booking = "/services/booking/bookings/7";
 const HttpHeaders All = {{"Authorization", "Bearer key-all"}};
 const HttpHeaders AllWithKey = {{"Authorization", "Bearer key-all"},
@@ -107,13 +109,13 @@
         FilterCase{"BrokenJson", "POST", "/v1/completions", All, "{",
                    Code::BadRequest},
         FilterCase{"Priority", "POST", "/v1/completions",
-                   with("X-Priority", "urgent"), "{}", Code::BadRequest},
+                   with("X-Priority", "urgent"), Whole, Code::BadRequest},
         FilterCase{"ZeroDeadline", "POST", "/v1/completions",
-                   with("X-Deadline-Ms", "0"), "{}", Code::BadRequest},
+                   with("X-Deadline-Ms", "0"), Whole, Code::BadRequest},
         FilterCase{"DeadlineWithUnit", "POST", "/v1/completions",
-                   with("X-Deadline-Ms", "30s"), "{}", Code::BadRequest},
+                   with("X-Deadline-Ms", "30s"), Whole, Code::BadRequest},
         FilterCase{"LongIdempotencyKey", "POST", "/v1/completions",
-                   with("Idempotency-Key", std::string(257, 'k')), "{}",
+                   with("Idempotency-Key", std::string(257, 'k')), Whole,
                    Code::BadRequest},
         FilterCase{"ModelOfOthers",
                    "POST",
