--- a/test/Ctl/ApplyTest.cpp
+++ b/test/Ctl/ApplyTest.cpp
@@ -143,6 +143,7 @@
   std::vector<Report> Results(2);
   std::atomic<int> Done = 0;
   std::vector<std::jthread> Tools;
+  Tools.reserve(Results.size());
   for (int Index = 0; Index < 2; ++Index)
     Tools.emplace_back([&, Index] {
       asio::io_context Own;
--- a/test/Net/TimerServiceTest.cpp
+++ b/test/Net/TimerServiceTest.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Net/TimerService.h"
 
 #include <asio/io_context.hpp>
+
 #include <gtest/gtest.h>
 
 namespace samphirehill {
