See a cold engine by its first answer

Cause: an engine that turned cold without a new boot id was seen only by its home's probe, up to 500 ms late; until then entries sent it work on warm credits and it crashed. Ruled out: shortening the probe period, which costs messages and keeps a window. Change: an engine may tell its state in a header of the answer to /generate; the entry that reads "cold" there returns its credits and the home recalls all others.

--- a/include/samphirehill/Daemon/UpstreamDirectory.h
+++ b/include/samphirehill/Daemon/UpstreamDirectory.h
@@ -68,6 +68,8 @@
   // their last reports. Call it after each round of probes.
   void judgeStragglers(TimePoint Now);
 
+  // An answer showed that the upstream is cold. Returns whether that is news.
+  bool setCold(const UpstreamId &Name, const BootId &Boot);
   void setDoubtful(const UpstreamId &Name, bool Value);
   // Process Boot of the upstream has ended.
   void setCrashed(const UpstreamId &Name, const BootId &Boot);
--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -163,8 +163,14 @@
 
 void ModelCall::receiveHeaders(const HttpResponse &Response) {
   Refused = Response.Status != 200;
-  if (!Refused)
-    MayHaveRun = true;
+  if (Refused)
+    return;
+  MayHaveRun = true;
+  const BootId &Boot = Stream.Boot;
+  if (Current && findHeader(Response.Headers, "X-Engine-State") == "cold" &&
+      Parts.Directory.setCold(Current->Upstream, Boot))
+    Parts.Credits.seeCold(Current->Held,
+                          ColdEvidence{ColdCause::CacheLost, Boot});
 }
 
 void ModelCall::receiveData(const std::string &Bytes) {
--- a/lib/Daemon/UpstreamDirectory.cpp
+++ b/lib/Daemon/UpstreamDirectory.cpp
@@ -72,6 +72,16 @@
   applyState(Found->second);
 }
 
+bool UpstreamDirectory::setCold(const UpstreamId &Name, const BootId &Boot) {
+  auto Found = ByName.find(Name);
+  if (Found == ByName.end() || Found->second.Status.Cold ||
+      Found->second.Status.Info.Boot != Boot)
+    return false;
+  Found->second.Status.Cold = true;
+  applyState(Found->second);
+  return true;
+}
+
 void UpstreamDirectory::setDoubtful(const UpstreamId &Name, bool Value) {
   auto Found = ByName.find(Name);
   if (Found == ByName.end())
--- a/test/Ctl/CtlFixture.h
+++ b/test/Ctl/CtlFixture.h
@@ -44,7 +44,7 @@
 class NoAnswer : public standin::Responder {
 public:
   void send(int, std::string, HttpHeaders) override {}
-  void startStream(const std::string &) override {}
+  void startStream(const HttpHeaders &) override {}
   void write(std::string) override {}
   void finish() override {}
   void drop() override {}
--- a/test/System/Fleet.h
+++ b/test/System/Fleet.h
@@ -171,7 +171,7 @@
     Code = Status;
     Body = std::move(Text);
   }
-  void startStream(const std::string &) override {}
+  void startStream(const HttpHeaders &) override {}
   void write(std::string) override {}
   void finish() override {}
   void drop() override {}
--- a/tools/standin-common/HttpServer.cpp
+++ b/tools/standin-common/HttpServer.cpp
@@ -20,11 +20,11 @@
     std::exchange(Exchange, nullptr)->respond(Status, Headers, std::move(Body));
   }
 
-  void startStream(const std::string &ContentType) override {
+  void startStream(const HttpHeaders &Headers) override {
     if (!Exchange || Streaming)
       return;
     Streaming = true;
-    Exchange->start(200, {{"Content-Type", ContentType}});
+    Exchange->start(200, Headers);
   }
 
   void write(std::string Chunk) override {
--- a/tools/standin-common/HttpServer.h
+++ b/tools/standin-common/HttpServer.h
@@ -43,7 +43,7 @@
   // Sends a whole answer.
   virtual void send(int Status, std::string Body, HttpHeaders Headers = {}) = 0;
   // Sends the head of a 200 answer whose body follows in chunks.
-  virtual void startStream(const std::string &ContentType) = 0;
+  virtual void startStream(const HttpHeaders &Headers) = 0;
   // Sends one chunk of a started stream.
   virtual void write(std::string Chunk) = 0;
   // Ends a started stream properly.
--- a/tools/standin-engine/EngineStreams.cpp
+++ b/tools/standin-engine/EngineStreams.cpp
@@ -147,7 +147,9 @@
     ++Counts["callersGone"];
     remove(Gone);
   });
-  Item->To->startStream("application/x-ndjson");
+  Item->To->startStream(
+      {{"Content-Type", "application/x-ndjson"},
+       {"X-Engine-State", Item->AdmittedCold ? "cold" : "warm"}});
   startQueued();
 }
 
