Keep HTTP servers until their io_context ends

Cause: the address sanitizer found connections that used their server's connection limiter after the server was destroyed; the io_context still held them. Ruled out: the handlers of this project, as the use is in RESTinio's connection destructor. Change: closed servers are kept by a service of the io_context. Before: 2 of 393 tests failed with the sanitizers (PlatformTest.TellsWhatBecameOfWriteUnderFaults, DistrustsAnswersThatBreakTheInterface). After: NetTests 28 and StandinsTests 14 pass with them.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -2,9 +2,11 @@
 
 #include <exception>
 #include <http_parser.h>
+#include <memory>
 #include <optional>
 #include <restinio/all.hpp>
 #include <utility>
+#include <vector>
 
 namespace samphirehill {
 namespace {
@@ -108,13 +110,39 @@
   std::function<void()> Closed;
 };
 
+// Keeps servers until their io_context ends. RESTinio's connections refer to
+// their server's acceptor, and the io_context still holds connections when a
+// server is closed.
+class ServerKeeper : public asio::execution_context::service {
+public:
+  using key_type = ServerKeeper; // NOLINT(readability-identifier-naming)
+  // Asio looks the service up by this. NOLINTNEXTLINE(readability-*)
+  inline static asio::execution_context::id id;
+
+  explicit ServerKeeper(asio::execution_context &Context)
+      : asio::execution_context::service(Context) {}
+
+  void keep(std::shared_ptr<RestinioServer> Added) {
+    Kept.push_back(std::move(Added));
+  }
+
+private:
+  void shutdown() override {}
+
+  std::vector<std::shared_ptr<RestinioServer>> Kept;
+};
+
 class Server final : public HttpServer {
 public:
   Server(asio::io_context &Context, const HttpServerOptions &Options,
          HttpHandler Handler)
-      : Impl(restinio::external_io_context(Context),
-             settings(Options, std::move(Handler))) {
-    Impl.open_sync();
+      : Impl(std::make_shared<RestinioServer>(
+            restinio::external_io_context(Context),
+            settings(Options, std::move(Handler)))) {
+    // Added after the server has set up Asio's own services, and so destroyed
+    // before them.
+    asio::use_service<ServerKeeper>(Context).keep(Impl);
+    Impl->open_sync();
   }
 
   ~Server() override { close(); }
@@ -123,7 +151,7 @@
 
   void close() override {
     if (std::exchange(Open, false))
-      Impl.close_sync();
+      Impl->close_sync();
   }
 
 private:
@@ -165,7 +193,7 @@
 
   std::uint16_t Port = 0;
   bool Open = true;
-  RestinioServer Impl;
+  std::shared_ptr<RestinioServer> Impl;
 };
 
 } // namespace
