--- a/include/samphirehill/Daemon/MembershipController.h
+++ b/include/samphirehill/Daemon/MembershipController.h
@@ -102,7 +102,6 @@
   std::unique_ptr<WatchLoop<InstanceList>> InstanceLoop;
   std::map<std::string, std::unique_ptr<WatchLoop<ObjectList>>> ObjectLoops;
   std::set<std::string> CompleteKinds; // read whole since the watch began
-  std::vector<SharedItem> FirstItems;  // read before all kinds were complete
   std::uint64_t ZonesVersion = 0;
   bool PlatformReachable = true;
   bool Ready = false;
--- a/include/samphirehill/Daemon/PlacementController.h
+++ b/include/samphirehill/Daemon/PlacementController.h
@@ -104,7 +104,6 @@
   std::map<UpstreamId, std::uint64_t> GivenUp; // own, told until it shows
   bool Unloading = false;
   bool LeavingHomes = false;
-  double StrandedSeconds = 0;
   TimerSubscription Tick;
 };
 
--- a/include/samphirehill/Net/HttpClient.h
+++ b/include/samphirehill/Net/HttpClient.h
@@ -24,6 +24,10 @@
 // Returns the first value of header Name (any case) or an empty string.
 std::string findHeader(const HttpHeaders &Headers, const std::string &Name);
 
+// Returns Text with its ASCII letters in lower case, for comparing header
+// names.
+std::string lowerCase(std::string Text);
+
 struct HttpRequest {
   std::string Method = "GET";
   std::string Url; // absolute, for example "http://127.0.0.1:7001/status"
--- a/lib/Daemon/PlacementHomes.cpp
+++ b/lib/Daemon/PlacementHomes.cpp
@@ -40,6 +40,7 @@
 void PlacementController::updateHomes() {
   for (const auto &[Name, Where] : Effective.Homes)
     Credits.setHome(Name, Where.Holder.Entry);
+  const BorrowerList Current = borrowers();
   for (auto Each = OpenEpochs.begin(); Each != OpenEpochs.end();) {
     auto Found = Effective.Homes.find(Each->first);
     if (Found == Effective.Homes.end()) {
@@ -51,7 +52,7 @@
     }
     if (const Service *Of = serviceOf(Each->first)) {
       Credits.setLimits(Each->first, Of->ColdLimit, Of->WarmLimit);
-      Credits.setBorrowers(Each->first, borrowers());
+      Credits.setBorrowers(Each->first, Current);
     }
     ++Each;
   }
--- a/lib/Daemon/PlainCall.cpp
+++ b/lib/Daemon/PlainCall.cpp
@@ -1,7 +1,5 @@
 #include "samphirehill/Daemon/PlainCall.h"
 
-#include <algorithm>
-#include <cctype>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,10 +11,7 @@
 constexpr int MaxAttempts = 4;
 
 // Headers that concern one connection, or that the caller must not set.
-bool isPassedOn(std::string Name) {
-  std::ranges::transform(Name, Name.begin(), [](unsigned char Each) {
-    return static_cast<char>(std::tolower(Each));
-  });
+bool isPassedOn(const std::string &Name) {
   static const std::set<std::string> Dropped = {"authorization",
                                                 "connection",
                                                 "content-length",
@@ -29,7 +24,7 @@
                                                 "x-deadline-ms",
                                                 "x-priority",
                                                 "x-request-id"};
-  return !Dropped.contains(Name);
+  return !Dropped.contains(lowerCase(Name));
 }
 
 // Returns whether a service says that it did not run the call.
--- a/lib/Daemon/RequestPath.cpp
+++ b/lib/Daemon/RequestPath.cpp
@@ -1,6 +1,5 @@
 #include "samphirehill/Daemon/RequestPath.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -13,11 +12,7 @@
   static const std::set<std::string> Dropped = {
       "connection", "content-length",    "date",        "keep-alive",
       "server",     "transfer-encoding", "x-request-id"};
-  std::string Lower = Name;
-  std::ranges::transform(Lower, Lower.begin(), [](unsigned char Each) {
-    return static_cast<char>(std::tolower(Each));
-  });
-  return !Dropped.contains(Lower);
+  return !Dropped.contains(lowerCase(Name));
 }
 
 } // namespace
--- a/lib/Daemon/Version.cpp
+++ /dev/null
@@ -1,5 +0,0 @@
-namespace samphirehill {
-
-const char *version() { return SAMPHIREHILL_VERSION; }
-
-} // namespace samphirehill
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -39,6 +39,13 @@
 
 } // namespace
 
+std::string lowerCase(std::string Text) {
+  std::ranges::transform(Text, Text.begin(), [](unsigned char Each) {
+    return static_cast<char>(std::tolower(Each));
+  });
+  return Text;
+}
+
 std::string findHeader(const HttpHeaders &Headers, const std::string &Name) {
   for (const auto &[Key, Value] : Headers)
     if (equalsIgnoringCase(Key, Name))
@@ -75,7 +82,8 @@
     CallId Id = Added->Id;
     {
       std::lock_guard Lock(Mutex);
-      Handlers->emplace(Id, std::move(Callbacks));
+      Handlers->emplace(
+          Id, std::make_shared<HttpStreamCallbacks>(std::move(Callbacks)));
       Starting.push_back(std::move(Added));
     }
     curl_multi_wakeup(Multi);
@@ -105,7 +113,8 @@
 
   // Callbacks by call; shared with posted tasks, which may run after the client
   // is gone and then find nothing to call.
-  using HandlerMap = std::unordered_map<CallId, HttpStreamCallbacks>;
+  using HandlerPtr = std::shared_ptr<HttpStreamCallbacks>;
+  using HandlerMap = std::unordered_map<CallId, HandlerPtr>;
 
   void run() {
     while (!Stopping) {
@@ -237,20 +246,27 @@
          });
   }
 
+  // Returns the callbacks of call Id, or null if it was cancelled. With Remove
+  // they are forgotten.
+  static HandlerPtr findHandlers(std::mutex &Mutex, HandlerMap &Handlers,
+                                 CallId Id, bool Remove) {
+    std::lock_guard Lock(Mutex);
+    auto Found = Handlers.find(Id);
+    if (Found == Handlers.end())
+      return nullptr;
+    HandlerPtr Callbacks = Found->second;
+    if (Remove)
+      Handlers.erase(Found);
+    return Callbacks;
+  }
+
   // Runs Use with the callbacks of call Id on the io_context, unless the call
-  // has been cancelled by then.
-  template <typename F> void post(CallId Id, F Use) {
-    asio::post(Context, [Id, Use = std::move(Use), Handlers = Handlers,
+  // has been cancelled by then. Last is set for the call's last use.
+  template <typename F> void post(CallId Id, F Use, bool Last = false) {
+    asio::post(Context, [Id, Use = std::move(Use), Last, Handlers = Handlers,
                          Mutex = HandlerMutex]() mutable {
-      HttpStreamCallbacks Callbacks;
-      {
-        std::lock_guard Lock(*Mutex);
-        auto Found = Handlers->find(Id);
-        if (Found == Handlers->end())
-          return;
-        Callbacks = Found->second;
-      }
-      Use(Callbacks);
+      if (HandlerPtr To = findHandlers(*Mutex, *Handlers, Id, Last))
+        Use(*To);
     });
   }
 
@@ -271,20 +287,13 @@
                                       : describeFailure(Ended, Code);
     CallId Id = Ended.Id;
     drop(Id);
-    asio::post(Context, [Id, Value = std::move(Value), Handlers = Handlers,
-                         Mutex = HandlerMutex]() mutable {
-      HttpStreamCallbacks Callbacks;
-      {
-        std::lock_guard Lock(*Mutex);
-        auto Found = Handlers->find(Id);
-        if (Found == Handlers->end())
-          return;
-        Callbacks = std::move(Found->second);
-        Handlers->erase(Found);
-      }
-      if (Callbacks.OnDone)
-        Callbacks.OnDone(std::move(Value));
-    });
+    post(
+        Id,
+        [Value = std::move(Value)](HttpStreamCallbacks &To) mutable {
+          if (To.OnDone)
+            To.OnDone(std::move(Value));
+        },
+        true);
   }
 
   static Outcome<HttpResponse> describeFailure(Transfer &Ended, CURLcode Code) {
