Load all weights at once at the first start; count a failed answer as a run

Cause: a request whose answer was an engine's failure was sent again without counting the run, so some ran on five engines (rule BUDGET). Loads of the first start were limited to six at a time, so the spares loaded at ten times the cost after the first request, and groups that lost a member waited 16 s.

Ruled out: loads that share the store's rate while they run. Groups opened in the order of the orders, so a load's length is fixed at its beginning.

--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -295,13 +295,13 @@
       Assigned[Model] = Count;
     for (auto &[Name, Each] : Domains) {
       int Left = static_cast<int>(Each.Usable.size());
-      Left -= static_cast<int>(std::lround(Left * State.Settings.SparePart));
+      int Spares = static_cast<int>(Left * State.Settings.SparePart);
       for (const ModelShape &Model : Shape.Models) {
         DomainModel &Own = Each.Models[Model.Name];
         Own.WantedGroups = Own.Groups;
         Left -= Own.Groups * Model.GroupSize;
       }
-      while (const ModelShape *Next = mostNeeded(Assigned, Left)) {
+      while (const ModelShape *Next = mostNeeded(Assigned, Each, Left, Spares)) {
         ++Each.Models[Next->Name].WantedGroups;
         Assigned[Next->Name] += Next->GroupSize;
         Left -= Next->GroupSize;
@@ -310,12 +310,16 @@
     }
   }
 
+  // Returns the model that has the fewest engines for its share among those of
+  // which one more group fits. Spares are kept free, but not at the price of a
+  // model's only group in the domain.
   const ModelShape *mostNeeded(const std::map<std::string, double> &Assigned,
-                               int Left) const {
+                               const Domain &Own, int Left, int Spares) const {
     const ModelShape *Best = nullptr;
     double BestRatio = 0;
     for (const ModelShape &Each : Shape.Models) {
-      if (Each.GroupSize > Left)
+      bool First = Own.Models.at(Each.Name).WantedGroups == 0;
+      if (Each.GroupSize > Left - (First ? 0 : Spares))
         continue;
       auto Found = Assigned.find(Each.Name);
       double Has = Found == Assigned.end() ? 0.0 : Found->second;
@@ -438,8 +442,10 @@
   bool loadsAllowed(int Count) const {
     int Running = static_cast<int>(State.Loading.size());
     auto Started = static_cast<double>(State.LoadStarts.size());
-    return Running + Count <= Shape.LoadsAtOnce &&
-           (FirstStart || Started + Count <= Shape.LoadsPerSecond);
+    // Loads of the first start are short, and last as long as the number that
+    // run at their beginning makes them: the earlier all begin, the better.
+    return FirstStart || (Running + Count <= Shape.LoadsAtOnce &&
+                          Started + Count <= Shape.LoadsPerSecond);
   }
 
   void noteLoad(const InstanceId &Id, const ModelShape &Model) {
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -279,13 +279,14 @@
     if (CollectedFacts.NotRun)
       return refusedByUpstream();
     bool Failed = Collected.Status >= 500;
+    UpstreamKey Key = *Running;
     endAttempt(Failed);
     if (Streamed) {
       Caller->streamPart(takeRest(Splitter));
       Caller->endStream();
       return finish("served", ResultCode::Ok);
     }
-    if (Failed && mayRepeat(*TheRoute) && mayTryAgain() && again("failed"))
+    if (Failed && mayRepeat(*TheRoute) && sendInstead(Key))
       return;
     if (HeadForwarded)
       return breakOff("upstream failed");
@@ -293,6 +294,23 @@
     finish(Success ? "served" : "upstream_failed", ResultCode::Ok);
   }
 
+  // Sends a request that Key answered with a failure to another upstream, if
+  // one may take it now. If none may, the failure is the answer.
+  bool sendInstead(const UpstreamKey &Key) {
+    Arrived = MayHaveRun = true;
+    ++Runs;
+    Tried.insert(Key);
+    if (!mayTryAgain())
+      return false;
+    HttpResponse Failure = Collected;
+    bool Sent = trySend();
+    if (!Sent)
+      Collected = std::move(Failure);
+    else
+      shared().Metrics.count("retries", "reason", "failed");
+    return Sent;
+  }
+
   // The upstream says that it didn't run the request.
   void refusedByUpstream() {
     UpstreamKey Key = *Running;
