--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -46,6 +46,12 @@
   Duration ProbeRepeat = milliseconds(400);
   // An unlisted head is taken for gone after this, if nobody reaches it.
   Duration UnlistedWait = milliseconds(1'500);
+  // What an instance tells itself counts as confirmed for this long.
+  Duration ConfirmedMaxAge = milliseconds(1'000);
+  // An entry of the head's zone must have been heard within this before its
+  // silence counts: else the zone is cut off.
+  Duration ZoneHeardMaxAge = milliseconds(700);
+  ZoneId Zone; // of this entry
   GroupPlanSettings Plan;
 };
 
@@ -83,6 +89,7 @@
     TimePoint AnsweredAt{};
     bool Asking = false;
     bool Silent = false; // the last question went unanswered
+    std::optional<Instance> Told;
   };
   struct Unlisted {
     Instance Last;
@@ -97,6 +104,8 @@
   void probe(const Instance &Asked, bool IsUnlisted);
   void give(const GroupOrder &Order);
   std::vector<PlannedInstance> planned(const ServiceId &Service) const;
+  void confirm(const InstanceId &Id);
+  bool zoneHeard(const ZoneId &Zone) const;
   Liveness livenessOf(const InstanceId &Id) const;
   Liveness livenessOfUnlisted(const InstanceId &Id, const Unlisted &Held) const;
 
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -29,6 +29,9 @@
   Liveness State = Liveness::Alive;
   bool ZoneOut = false;
   bool Cold = false;
+  // The instance itself has just told its state. Its entry in the list may be
+  // older than it looks: entries can arrive late and out of order.
+  bool Confirmed = false;
 };
 
 enum class OrderKind {
@@ -37,6 +40,7 @@
   Close, // to a head: finish what runs, take nothing new
   Leave, // to a head: stop at once and be in no group
   Stage, // load weights onto the host
+  Check, // no order: ask the instance for its state, then plan again
 };
 
 // One order to one instance.
@@ -59,6 +63,9 @@
   Duration OrderRepeat = milliseconds(1200);
   // Time beyond the expected one after which a group that forms is given up.
   Duration FormationMargin = seconds(4);
+  // Members whose head is unknown are left alone for this long: above the
+  // three heartbeats after which the head's entry shows up again.
+  Duration HeadlessWait = seconds(4);
 };
 
 // A group whose members have been ordered to join.
@@ -82,7 +89,9 @@
   std::map<std::int64_t, Formation> Forming; // by epoch
   std::map<InstanceId, WeightLoad> Loading;
   std::map<std::string, TimePoint> OrderedAt; // by order and instance
-  std::vector<TimePoint> LoadStarts;          // of the last second
+  std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last seen
+  std::map<std::int64_t, TimePoint> HeadlessSince;
+  std::vector<TimePoint> LoadStarts; // of the last second
 };
 
 // Groups whose entries see no progress although requests run there.
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -66,6 +66,9 @@
   void removeInstance(const InstanceId &Id);
   void takeZonesOut(std::set<ZoneId> Zones);
 
+  // Tells whether this entry holds the group duty.
+  bool holdsDuty() const { return Groups.holds(); }
+
   // Applies settings that may change while the entry runs.
   void reload(const ServingSettings &Changed);
 
@@ -76,6 +79,8 @@
 private:
   Result<void> start();
   void joinPeers();
+  void listPeers();
+  void retryJoin(const Error &Failed);
   void rebuildUpstreams();
   void upstreamsChanged();
   EntryReport report();
@@ -103,6 +108,7 @@
   GroupController Groups;
   std::map<InstanceId, TimePoint> Lapsed; // missing since an outage's end
   Incarnation Life = 0;
+  std::int64_t OwnRevision = 0; // of the own entry in the platform's store
   TimerSubscription Tick;
   TimerSubscription PeerRetry;
   TimerSubscription Rebuild;
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -18,7 +18,7 @@
 // An answer of an unlisted instance counts as fresh for this long.
 constexpr Duration ReachedMaxAge = milliseconds(1'000);
 // Unlisted instances are forgotten after this.
-constexpr Duration UnlistedMemory = seconds(60);
+constexpr Duration UnlistedMemory = seconds(20);
 
 const char *toString(OrderKind Kind) {
   switch (Kind) {
@@ -32,6 +32,8 @@
     return "leave";
   case OrderKind::Stage:
     return "stage";
+  case OrderKind::Check:
+    return "check";
   }
   return "unknown";
 }
@@ -157,12 +159,24 @@
     return Liveness::Unclear;
   if (!Found->second.Silent)
     return Found->second.Asking ? Liveness::Unclear : Liveness::Alive;
-  if (Timers.now() - Held.Since < Settings.UnlistedWait ||
-      Peers.reachedElsewhere().contains(Id))
+  TimePoint Now = Timers.now();
+  if (Now - Held.Since < Settings.UnlistedWait ||
+      Now - Found->second.AskedAt > Settings.ConfirmedMaxAge ||
+      !zoneHeard(Held.Last.Zone) || Peers.reachedElsewhere().contains(Id))
     return Liveness::Unclear;
   return Liveness::Gone;
 }
 
+bool GroupController::zoneHeard(const ZoneId &Zone) const {
+  if (Zone == Settings.Zone)
+    return true;
+  return std::any_of(
+      Peers.peers().begin(), Peers.peers().end(), [&](const auto &Each) {
+        return Each.second.Last.Zone == Zone &&
+               Timers.now() - Each.second.HeardAt <= Settings.ZoneHeardMaxAge;
+      });
+}
+
 std::vector<PlannedInstance>
 GroupController::planned(const ServiceId &Service) const {
   std::vector<PlannedInstance> Known;
@@ -170,9 +184,18 @@
   for (const auto &[Id, Record] : Instances.Instances) {
     if (Record.Listed.Service != Service)
       continue;
-    Known.push_back({Record.Listed, livenessOf(Id),
-                     Instances.ZonesOut.contains(Record.Listed.Zone),
-                     Now < Record.ColdUntil});
+    PlannedInstance Each{Record.Listed, livenessOf(Id),
+                         Instances.ZonesOut.contains(Record.Listed.Zone),
+                         Now < Record.ColdUntil};
+    auto Found = Probes.find(Id);
+    if (Found != Probes.end() && Found->second.Told && !Found->second.Silent &&
+        Found->second.AnsweredAt >= Record.ChangedAt &&
+        Now - Found->second.AnsweredAt <= Settings.ConfirmedMaxAge) {
+      Each.Confirmed = true;
+      Each.Listed.Group = Found->second.Told->Group;
+      Each.Listed.Staged = Found->second.Told->Staged;
+    }
+    Known.push_back(std::move(Each));
   }
   for (const auto &[Id, Held] : Missing) {
     if (Held.Last.Service != Service)
@@ -208,6 +231,8 @@
 }
 
 void GroupController::give(const GroupOrder &Order) {
+  if (Order.Kind == OrderKind::Check)
+    return confirm(Order.To);
   auto Found = Instances.Instances.find(Order.To);
   auto Unlisted = Missing.find(Order.To);
   if (Found == Instances.Instances.end() && Unlisted == Missing.end())
@@ -243,6 +268,15 @@
       });
 }
 
+void GroupController::confirm(const InstanceId &Id) {
+  auto Found = Instances.Instances.find(Id);
+  auto Unlisted = Missing.find(Id);
+  if (Found != Instances.Instances.end())
+    probe(Found->second.Listed, false);
+  else if (Unlisted != Missing.end())
+    probe(Unlisted->second.Last, true);
+}
+
 void GroupController::probeSuspects() {
   std::set<UpstreamKey> Stalled;
   TimePoint Now = Timers.now();
@@ -266,8 +300,7 @@
       probe(Record.Listed, false);
   }
   for (const auto &[Id, Held] : Missing) {
-    if (livenessOfUnlisted(Id, Held) != Liveness::Gone)
-      probe(Held.Last, true);
+    probe(Held.Last, true);
   }
 }
 
@@ -289,8 +322,10 @@
                    Id.str(), Silent ? "silent" : "alive",
                    Silent ? errorOf(Answer)->Message : "answered");
     Asked.Silent = Silent;
-    if (!Silent)
+    if (!Silent) {
       Asked.AnsweredAt = Timers.now();
+      Asked.Told = std::get<0>(Answer);
+    }
     auto Held = Missing.find(Id);
     if (!Silent && Held != Missing.end())
       Held->second.Last.Group = std::get<0>(Answer).Group;
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -16,6 +16,9 @@
   std::map<int, const PlannedInstance *> ByRank;
 };
 
+// An order without answer may take effect this much later.
+constexpr Duration OrderMemory = seconds(30);
+
 using GroupKey = std::pair<std::string, std::int64_t>;
 
 struct DomainModel {
@@ -78,7 +81,10 @@
     std::erase_if(State.LoadStarts,
                   [&](TimePoint At) { return Now - At >= seconds(1); });
     std::erase_if(State.OrderedAt, [&](const auto &Entry) {
-      return Now - Entry.second > seconds(30);
+      return Now - Entry.second > OrderMemory;
+    });
+    std::erase_if(State.HeadlessSince, [&](const auto &Entry) {
+      return Now - Entry.second > OrderMemory;
     });
   }
 
@@ -131,9 +137,44 @@
       endGroup(Key, Group, *Head);
       return;
     }
+    if (headMayServeUnseen(Key, Head)) {
+      for (const auto &[Rank, Each] : Group.ByRank)
+        Bound.insert(Each->Listed.Id);
+      return;
+    }
     State.Forming.erase(Key.second);
   }
 
+  // Whether the group's head may be serving although the list doesn't say so.
+  bool headMayServeUnseen(const GroupKey &Key, const PlannedInstance *Head) {
+    if (FirstStart)
+      return false;
+    if (Head) {
+      State.HeadOf[Key.second] = Head->Listed.Id;
+      if (Head->State != Liveness::Alive || Head->Confirmed)
+        return Head->State == Liveness::Unclear;
+      check(*Head);
+      return true;
+    }
+    auto Known = State.HeadOf.find(Key.second);
+    if (Known != State.HeadOf.end()) {
+      const PlannedInstance *Was = find(Known->second);
+      if (!Was || Was->State == Liveness::Gone)
+        return false;
+      if (Was->State == Liveness::Alive && Was->Confirmed)
+        return false; // it tells of another group, or of none
+      check(*Was);
+      return true;
+    }
+    TimePoint Since =
+        State.HeadlessSince.try_emplace(Key.second, Now).first->second;
+    return Now - Since < State.Settings.HeadlessWait;
+  }
+
+  void check(const PlannedInstance &Asked) {
+    Orders.push_back({OrderKind::Check, Asked.Listed.Id, {}, 0, {}, {}});
+  }
+
   // Whether Head serves or has been ordered to; the order may take effect late.
   bool mayServe(const PlannedInstance &Head) const {
     return serving(Head) || (Head.Listed.Group->Phase != MemberPhase::Broken &&
@@ -166,6 +207,7 @@
     for (const auto &[Rank, Each] : Group.ByRank)
       Bound.insert(Each->Listed.Id);
     countGroup(Head, Group.Model);
+    State.HeadOf[Key.second] = Head.Listed.Id;
     if (serving(Head))
       State.Forming.erase(Key.second);
     if (AllReady && due(openLabel(Head)))
@@ -301,7 +343,8 @@
         Own.WantedGroups = Own.Groups;
         Left -= Own.Groups * Model.GroupSize;
       }
-      while (const ModelShape *Next = mostNeeded(Assigned, Each, Left, Spares)) {
+      while (const ModelShape *Next =
+                 mostNeeded(Assigned, Each, Left, Spares)) {
         ++Each.Models[Next->Name].WantedGroups;
         Assigned[Next->Name] += Next->GroupSize;
         Left -= Next->GroupSize;
@@ -392,10 +435,30 @@
     }
     sortCandidates(Ready, Model);
     Ready.resize(Size);
+    if (!FirstStart && !confirmed(Own, Ready))
+      return false;
     startForming(Own, Model, Ready);
     return true;
   }
 
+  // Whether all Chosen have just told their state themselves; the others are
+  // asked, and none is used for another group before they answer.
+  bool confirmed(Domain &Own,
+                 const std::vector<const PlannedInstance *> &Chosen) {
+    bool All = true;
+    for (const PlannedInstance *Each : Chosen) {
+      if (Each->Confirmed)
+        continue;
+      check(*Each);
+      All = false;
+    }
+    if (!All)
+      std::erase_if(Own.Free, [&](const PlannedInstance *Each) {
+        return std::find(Chosen.begin(), Chosen.end(), Each) != Chosen.end();
+      });
+    return All;
+  }
+
   // Engines that were in a group of the model join it fastest; a cold one is
   // not made the head.
   static void sortCandidates(std::vector<const PlannedInstance *> &Candidates,
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -61,6 +61,7 @@
   GroupControllerSettings Made;
   Made.Entry = Settings.Entry.str();
   Made.FirstStart = Settings.FirstStart;
+  Made.Zone = Settings.Zone;
   return Made;
 }
 
@@ -123,39 +124,45 @@
   return {};
 }
 
-// Writes the own entry, then reads those of the others.
+// Writes the own entry, then reads those of the others: whichever of two
+// entries writes later finds the other, and its messages make it known there.
 void ServingEntry::joinPeers() {
   if (Stopped)
     return;
-  auto Retry = [this](const Error &Failed) {
-    spdlog::info("event=join_peers_failed reason=\"{}\"", Failed.Message);
-    PeerRetry = Timers.after(PeerRetryDelay, [this] { joinPeers(); });
-  };
+  StoredObject Own{Settings.Entry.str(), OwnRevision, encodeEntry(Settings)};
+  Supplied.Store.Write(EntryKind, Own,
+                       [this](const Outcome<StoredObject> &Done) {
+                         const Error *Failed = errorOf(Done);
+                         // The entry of an earlier life is there already.
+                         if (!Failed || Failed->Code == ResultCode::Conflict)
+                           return listPeers();
+                         retryJoin(*Failed);
+                       });
+}
+
+void ServingEntry::retryJoin(const Error &Failed) {
+  spdlog::info("event=join_peers_failed reason=\"{}\"", Failed.Message);
+  PeerRetry = Timers.after(PeerRetryDelay, [this] { joinPeers(); });
+}
+
+void ServingEntry::listPeers() {
   Supplied.Store.List(
-      EntryKind,
-      [this, Retry](const Outcome<std::vector<StoredObject>> &Answer) {
+      EntryKind, [this](const Outcome<std::vector<StoredObject>> &Answer) {
         if (const Error *Failed = errorOf(Answer))
-          return Retry(*Failed);
-        StoredObject Own{Settings.Entry.str(), 0, encodeEntry(Settings)};
-        bool Written = false;
+          return retryJoin(*Failed);
+        bool Current = false;
         for (const StoredObject &Each : std::get<0>(Answer)) {
-          if (Each.Name == Own.Name) {
-            Own.Revision = Each.Revision;
-            Written = Each.Value == Own.Value;
+          if (Each.Name == Settings.Entry.str()) {
+            OwnRevision = Each.Revision;
+            Current = Each.Value == encodeEntry(Settings);
             continue;
           }
           if (std::optional<SocketAddress> Address = decodeEntry(Each.Value))
             Peers.addPeer(EntryId(Each.Name), *Address);
         }
-        int Entries = static_cast<int>(Peers.peers().size()) + 1;
-        spdlog::info("event=peers_listed entries={}", Entries);
-        if (Written)
-          return;
-        Supplied.Store.Write(EntryKind, Own,
-                             [Retry](const Outcome<StoredObject> &Done) {
-                               if (const Error *Failed = errorOf(Done))
-                                 Retry(*Failed);
-                             });
+        spdlog::info("event=peers_listed entries={}", Peers.peers().size() + 1);
+        if (!Current)
+          retryJoin({ResultCode::Conflict, "own entry is outdated"});
       });
 }
 
