Tell an instance's lives apart in its reports

Cause: a head that had left the list was asked for its state at its old address, where the instance that came after it answered. Its group then had two heads, was taken for incomplete, and its members were ordered into another group while the true head was open (rule TWO). An answer from before an order also counted as confirmed after it.

Ruled out: late entries of the list; the instance had told its state itself.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -29,7 +29,8 @@
                      std::int64_t Fence,
                      std::function<void(Outcome<bool>)> Done)>
       Order;
-  // Asks an instance for its state; returns To with what it reports.
+  // Asks an instance for its state; returns To with what it reports. Fails with
+  // NotFound if another life or another instance answers at its address.
   std::function<void(const Instance &To,
                      std::function<void(Outcome<Instance>)> Done)>
       Report;
@@ -89,7 +90,10 @@
     TimePoint AnsweredAt{};
     bool Asking = false;
     bool Silent = false; // the last question went unanswered
+    bool Ended = false;  // another life answered at its address
+    // The last answer, unless an order has been given since it was asked for.
     std::optional<Instance> Told;
+    TimePoint OrderedAt{};
   };
   struct Unlisted {
     Instance Last;
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -130,6 +130,7 @@
   if (!Last.Group || Last.Group->Rank != 0)
     return;
   Missing[Last.Id] = {Last, Timers.now()};
+  Probes.erase(Last.Id);
 }
 
 void GroupController::listed(const InstanceId &Id) { Missing.erase(Id); }
@@ -157,6 +158,8 @@
   auto Found = Probes.find(Id);
   if (Found == Probes.end() || Found->second.AskedAt == TimePoint{})
     return Liveness::Unclear;
+  if (Found->second.Ended)
+    return Liveness::Gone;
   if (!Found->second.Silent)
     return Found->second.Asking ? Liveness::Unclear : Liveness::Alive;
   TimePoint Now = Timers.now();
@@ -245,6 +248,9 @@
                "term={}",
                toString(Order.Kind), Order.To.str(), Order.Group, Order.Epoch,
                Order.Model, Lease.Record.Term);
+  Probe &Known = Probes[Order.To];
+  Known.OrderedAt = Timers.now();
+  Known.Told.reset();
   std::int64_t Term = Lease.Record.Term;
   Calls.Order(
       To, Order, Term, [this, Order, Term](const Outcome<bool> &Answer) {
@@ -300,6 +306,9 @@
       probe(Record.Listed, false);
   }
   for (const auto &[Id, Held] : Missing) {
+    auto Found = Probes.find(Id);
+    if (Found != Probes.end() && Found->second.Ended)
+      continue;
     probe(Held.Last, true);
   }
 }
@@ -322,9 +331,11 @@
                    Id.str(), Silent ? "silent" : "alive",
                    Silent ? errorOf(Answer)->Message : "answered");
     Asked.Silent = Silent;
+    Asked.Ended = Silent && errorOf(Answer)->Code == ResultCode::NotFound;
     if (!Silent) {
       Asked.AnsweredAt = Timers.now();
-      Asked.Told = std::get<0>(Answer);
+      if (Asked.AskedAt > Asked.OrderedAt)
+        Asked.Told = std::get<0>(Answer);
     }
     auto Held = Missing.find(Id);
     if (!Silent && Held != Missing.end())
