Take a silent head for gone only after its zone has been heard for a while

Cause: in the moment after a zone cut healed, entries of the zone were heard again before the head there had been asked again; its old silence then counted, and a member was ordered into another group while the head was open (rule TWO).

Ruled out: the list; the member had told its state itself.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -49,9 +49,9 @@
   Duration UnlistedWait = milliseconds(1'500);
   // What an instance tells itself counts as confirmed for this long.
   Duration ConfirmedMaxAge = milliseconds(1'000);
-  // An entry of the head's zone must have been heard within this before its
-  // silence counts: else the zone is cut off.
-  Duration ZoneHeardMaxAge = milliseconds(700);
+  // Entries of the head's zone must have been heard for this long before its
+  // silence counts: else the zone is cut off, or was a moment ago.
+  Duration ZoneHeardLength = milliseconds(1'200);
   ZoneId Zone; // of this entry
   GroupPlanSettings Plan;
 };
@@ -109,7 +109,7 @@
   void give(const GroupOrder &Order);
   std::vector<PlannedInstance> planned(const ServiceId &Service) const;
   void confirm(const InstanceId &Id);
-  bool zoneHeard(const ZoneId &Zone) const;
+  bool zoneInReach(const ZoneId &Zone) const;
   Liveness livenessOf(const InstanceId &Id) const;
   Liveness livenessOfUnlisted(const InstanceId &Id, const Unlisted &Held) const;
 
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +50,7 @@
   EntryReport Last;
   SocketAddress Address;
   TimePoint HeardAt{}; // time point zero: never
+  TimePoint HeardSince{}; // without a gap above GossipSettings::LoadMaxAge
 };
 
 struct GossipSettings {
@@ -77,6 +79,9 @@
 
   // Returns what the other entries run, by their recent reports.
   std::map<UpstreamKey, int> runningElsewhere() const;
+  // Returns since when some entry of Zone has been heard without a gap, or
+  // nothing if none is heard now.
+  std::optional<TimePoint> zoneHeardSince(const ZoneId &Zone) const;
   // Returns the instances that some other entry reached recently.
   std::set<InstanceId> reachedElsewhere() const;
 
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -165,19 +165,16 @@
   TimePoint Now = Timers.now();
   if (Now - Held.Since < Settings.UnlistedWait ||
       Now - Found->second.AskedAt > Settings.ConfirmedMaxAge ||
-      !zoneHeard(Held.Last.Zone) || Peers.reachedElsewhere().contains(Id))
+      !zoneInReach(Held.Last.Zone) || Peers.reachedElsewhere().contains(Id))
     return Liveness::Unclear;
   return Liveness::Gone;
 }
 
-bool GroupController::zoneHeard(const ZoneId &Zone) const {
+bool GroupController::zoneInReach(const ZoneId &Zone) const {
   if (Zone == Settings.Zone)
     return true;
-  return std::any_of(
-      Peers.peers().begin(), Peers.peers().end(), [&](const auto &Each) {
-        return Each.second.Last.Zone == Zone &&
-               Timers.now() - Each.second.HeardAt <= Settings.ZoneHeardMaxAge;
-      });
+  std::optional<TimePoint> Since = Peers.zoneHeardSince(Zone);
+  return Since && Timers.now() - *Since >= Settings.ZoneHeardLength;
 }
 
 std::vector<PlannedInstance>
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -129,6 +129,8 @@
     spdlog::info("event=peer_heard entry={} zone={}", Report->Entry.str(),
                  Report->Zone.str());
   Peer.Address = {Sender.address().to_string(), Sender.port()};
+  if (Now - Peer.HeardAt > Settings.LoadMaxAge)
+    Peer.HeardSince = Now;
   Peer.HeardAt = Now;
   Peer.Last = std::move(*Report);
   OnReport(Peer.Last);
@@ -168,6 +170,18 @@
   return Sum;
 }
 
+std::optional<TimePoint>
+PeerGossip::zoneHeardSince(const ZoneId &Zone) const {
+  TimePoint Now = Timers.now();
+  std::optional<TimePoint> Since;
+  for (const auto &[Entry, Peer] : Peers) {
+    if (Peer.Last.Zone != Zone || Now - Peer.HeardAt > Settings.LoadMaxAge)
+      continue;
+    Since = Since ? std::min(*Since, Peer.HeardSince) : Peer.HeardSince;
+  }
+  return Since;
+}
+
 std::set<InstanceId> PeerGossip::reachedElsewhere() const {
   TimePoint Now = Timers.now();
   std::set<InstanceId> All;
