Place generations by the expected time to their first event

Load pattern: several long prompts meet at one group; they are read one after the other, so the count of running requests says little. Placement now ranks groups by the passes that the prompts waiting there need, by what runs, and by how slow their events have been; entries tell each other both. The group plan gives out groups one at a time over all domains, and waits at the first start until no further engine registers: it had filled domain after domain, with five groups of the large model where its share asks for six.

--- a/include/samphirehill/Serving/Configuration.h
+++ b/include/samphirehill/Serving/Configuration.h
@@ -67,6 +67,7 @@
   Duration Step{};
   Duration StepPerRequest{};
   double PromptTokensPerSecond = 1;
+  std::int64_t TokensPerPass = 1; // prompt tokens read in one pass
   double LoadsPerSecond = 1;
   int LoadsAtOnce = 1;
   Duration GroupOpening{}; // from the order to open until the head serves
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -63,6 +63,10 @@
   Duration OrderRepeat = milliseconds(1200);
   // Time beyond the expected one after which a group that forms is given up.
   Duration FormationMargin = seconds(4);
+  // At the first start engines register one after the other. Nothing is ordered
+  // until none has come for this long: what a domain should hold depends on its
+  // size.
+  Duration SettleTime = milliseconds(600);
   // Members whose head is unknown are left alone for this long: above the
   // three heartbeats after which the head's entry shows up again.
   Duration HeadlessWait = seconds(4);
@@ -91,6 +95,8 @@
   std::map<std::string, TimePoint> OrderedAt; // by order and instance
   std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last seen
   std::map<std::int64_t, TimePoint> HeadlessSince;
+  std::size_t KnownEngines = 0;
+  TimePoint EnginesChangedAt{};
   std::vector<TimePoint> LoadStarts; // of the last second
 };
 
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -10,6 +10,7 @@
 #include "samphirehill/Net/TimerService.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
+#include "samphirehill/Serving/UpstreamBook.h"
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -31,7 +32,7 @@
   std::uint64_t Sequence = 0;
   ZoneId Zone;
   std::int64_t ConfigurationVersion = 0;
-  std::map<UpstreamKey, int> Running;
+  std::map<UpstreamKey, UpstreamLoad> Loads;
   std::set<UpstreamKey> Stalled;
   std::vector<BreakOff> BreakOffs; // SeenAt on the receiver's clock
   std::int64_t DutyTerm = 0;       // 0: holds no duty
@@ -49,7 +50,7 @@
 struct PeerEntry {
   EntryReport Last;
   SocketAddress Address;
-  TimePoint HeardAt{}; // time point zero: never
+  TimePoint HeardAt{};    // time point zero: never
   TimePoint HeardSince{}; // without a gap above GossipSettings::LoadMaxAge
 };
 
@@ -78,7 +79,7 @@
   const std::map<EntryId, PeerEntry> &peers() const { return Peers; }
 
   // Returns what the other entries run, by their recent reports.
-  std::map<UpstreamKey, int> runningElsewhere() const;
+  std::map<UpstreamKey, UpstreamLoad> loadElsewhere() const;
   // Returns since when some entry of Zone has been heard without a gap, or
   // nothing if none is heard now.
   std::optional<TimePoint> zoneHeardSince(const ZoneId &Zone) const;
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -20,10 +20,22 @@
 // Why an upstream gets no new work while others can take it.
 enum class AvoidReason { None, Unreachable, Stalled, Refusing, Failing };
 
+// Work of one entry at one upstream.
+struct UpstreamLoad {
+  int Running = 0; // requests
+  // Prompt tokens of those that have sent nothing yet: they are read one after
+  // the other, so each makes the next first event later.
+  std::int64_t PendingTokens = 0;
+
+  bool operator==(const UpstreamLoad &) const = default;
+};
+
 struct UpstreamState {
   Upstream Known;
-  int Running = 0;          // requests of this entry
-  int RunningElsewhere = 0; // requests of other entries, by their last reports
+  UpstreamLoad Own;
+  UpstreamLoad Elsewhere; // of the other entries, by their last reports
+  // How much longer its events take than its load explains; 1: as expected.
+  double Slowness = 1.0;
   TimePoint LastProgress{}; // of any request of this entry
   TimePoint AvoidUntil{};
   AvoidReason Avoid = AvoidReason::None;
@@ -33,12 +45,13 @@
 };
 
 struct PlacementLimits {
-  // How much worse an upstream of another zone is than one of this zone, in
-  // shares of its slots: more than the delay between zones is worth, less than
-  // a queue.
-  double OtherZonePenalty = 0.08;
-  // Failing instances are kept as a last resort, ranked behind this much load.
-  double FailurePenalty = 2.0;
+  // How much later an upstream of another zone is taken to answer: the delay
+  // between zones, and a little for the bytes that cross them.
+  Duration OtherZonePenalty = milliseconds(6);
+  // Time by which an instance that fails all requests ranks behind others.
+  Duration FailurePenalty = milliseconds(400);
+  // Mean time of a plain service's request, for ranking its instances.
+  Duration PlainWork = milliseconds(40);
   // Share of a cold upstream's request rate that one entry may use; the sum
   // over all entries stays below the operators' bound.
   int Entries = 1;
@@ -52,8 +65,21 @@
   std::set<UpstreamKey> Tried;
   // Requests beyond the slots that an upstream may hold; plain services queue.
   int ExtraSlots = 0;
+  std::int64_t PromptTokens = 0;
+  const EngineShape *Engine = nullptr; // null: a plain service
+  const ModelShape *Shape = nullptr;
 };
 
+// Returns the expected time to the first event of a request with PromptTokens
+// at an upstream with Load. Requests are read in the order of their arrival,
+// one chunk in each pass, and each pass moves all running requests on.
+Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
+                            const EngineShape &Engine, const ModelShape &Shape);
+
+// Returns the expected pause between two events at an upstream with Load.
+Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
+                     const ModelShape &Shape);
+
 enum class NoPlace { Absent, Full };
 
 struct Placement {
@@ -76,8 +102,16 @@
                 TimePoint Now);
 
 // Counts a request as sent to Key.
-void noteSent(UpstreamBook &Book, const UpstreamKey &Key, double ColdPerSecond,
-              TimePoint Now);
+void noteSent(UpstreamBook &Book, const UpstreamKey &Key,
+              const PlacementQuery &Query, TimePoint Now);
+
+// Counts the first answer to a request with PromptTokens.
+void noteFirstEvent(UpstreamBook &Book, const UpstreamKey &Key,
+                    std::int64_t PromptTokens);
+
+// Notes the pause between two events of a request.
+void noteGap(UpstreamBook &Book, const UpstreamKey &Key, Duration Observed,
+             const EngineShape &Engine, const ModelShape &Shape);
 
 // Counts the end of a request. Failed tells a failure of the upstream itself.
 void noteEnded(UpstreamBook &Book, const UpstreamKey &Key, bool Failed);
@@ -89,9 +123,9 @@
 void avoid(UpstreamBook &Book, const UpstreamKey &Key, AvoidReason Reason,
            TimePoint Until);
 
-// Replaces what other entries run: requests by upstream.
-void setRunningElsewhere(UpstreamBook &Book,
-                         const std::map<UpstreamKey, int> &Running);
+// Replaces what other entries run.
+void setLoadElsewhere(UpstreamBook &Book,
+                      const std::map<UpstreamKey, UpstreamLoad> &Loads);
 
 } // namespace samphirehill::serving
 
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -32,6 +32,8 @@
   std::vector<const PlannedInstance *> Usable;
   std::vector<const PlannedInstance *> Free;
   std::map<std::string, DomainModel> Models;
+  int Room = 0;   // engines beyond the groups that it is to have
+  int Spares = 0; // engines that no second group of a model may take
 };
 
 class Planner {
@@ -46,6 +48,8 @@
     collectGroups();
     collectDomains();
     planQuotas();
+    if (FirstStart && settling())
+      return {};
     for (auto &[Name, Each] : Domains)
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
@@ -59,6 +63,14 @@
            !Each.ZoneOut;
   }
 
+  bool settling() {
+    if (State.KnownEngines != Engines.size()) {
+      State.KnownEngines = Engines.size();
+      State.EnginesChangedAt = Now;
+    }
+    return Now - State.EnginesChangedAt < State.Settings.SettleTime;
+  }
+
   void forgetOld() {
     std::erase_if(State.Forming, [&](const auto &Entry) {
       return Now >= Entry.second.GiveUpAt;
@@ -330,50 +342,65 @@
     return State.Loading.contains(Each.Listed.Id);
   }
 
-  // Gives each domain whole groups by the models' shares over all domains.
+  // Gives the domains whole groups by the models' shares over all domains: one
+  // group at a time, of the model that has the fewest engines for its share, in
+  // the domain with the most room.
   void planQuotas() {
-    std::map<std::string, double> Assigned;
-    for (const auto &[Model, Count] : GroupedEngines)
-      Assigned[Model] = Count;
+    std::map<std::string, double> Assigned = GroupedEngines;
     for (auto &[Name, Each] : Domains) {
-      int Left = static_cast<int>(Each.Usable.size());
-      int Spares = static_cast<int>(Left * State.Settings.SparePart);
+      Each.Room = static_cast<int>(Each.Usable.size());
+      Each.Spares = static_cast<int>(Each.Room * State.Settings.SparePart);
       for (const ModelShape &Model : Shape.Models) {
         DomainModel &Own = Each.Models[Model.Name];
         Own.WantedGroups = Own.Groups;
-        Left -= Own.Groups * Model.GroupSize;
-      }
-      while (const ModelShape *Next =
-                 mostNeeded(Assigned, Each, Left, Spares)) {
-        ++Each.Models[Next->Name].WantedGroups;
-        Assigned[Next->Name] += Next->GroupSize;
-        Left -= Next->GroupSize;
+        Each.Room -= Own.Groups * Model.GroupSize;
       }
-      planSpares(Each);
     }
+    while (assignOne(Assigned)) {
+    }
+    for (auto &[Name, Each] : Domains)
+      planSpares(Each);
   }
 
-  // Returns the model that has the fewest engines for its share among those of
-  // which one more group fits. Spares are kept free, but not at the price of a
-  // model's only group in the domain.
-  const ModelShape *mostNeeded(const std::map<std::string, double> &Assigned,
-                               const Domain &Own, int Left, int Spares) const {
-    const ModelShape *Best = nullptr;
-    double BestRatio = 0;
-    for (const ModelShape &Each : Shape.Models) {
-      bool First = Own.Models.at(Each.Name).WantedGroups == 0;
-      if (Each.GroupSize > Left - (First ? 0 : Spares))
-        continue;
-      auto Found = Assigned.find(Each.Name);
-      double Has = Found == Assigned.end() ? 0.0 : Found->second;
-      double Ratio = Has / std::max(Each.Share, 0.01);
-      if (!Best || Ratio < BestRatio ||
-          (Ratio == BestRatio && Each.Share > Best->Share)) {
-        Best = &Each;
-        BestRatio = Ratio;
+  bool assignOne(std::map<std::string, double> &Assigned) {
+    std::vector<const ModelShape *> Order = byNeed(Assigned);
+    for (const ModelShape *Model : Order) {
+      Domain *Best = nullptr;
+      for (auto &[Name, Each] : Domains) {
+        if (fits(Each, *Model) && (!Best || Each.Room > Best->Room))
+          Best = &Each;
       }
+      if (!Best)
+        continue;
+      ++Best->Models[Model->Name].WantedGroups;
+      Best->Room -= Model->GroupSize;
+      Assigned[Model->Name] += Model->GroupSize;
+      return true;
     }
-    return Best;
+    return false;
+  }
+
+  // Spares are kept free, but not at the price of a model's only group in the
+  // domain.
+  static bool fits(const Domain &Own, const ModelShape &Model) {
+    bool First = Own.Models.at(Model.Name).WantedGroups == 0;
+    return Model.GroupSize <= Own.Room - (First ? 0 : Own.Spares);
+  }
+
+  // Returns the models, those with the fewest engines for their share first.
+  std::vector<const ModelShape *>
+  byNeed(std::map<std::string, double> &Assigned) const {
+    std::vector<const ModelShape *> Order;
+    for (const ModelShape &Model : Shape.Models)
+      Order.push_back(&Model);
+    auto Need = [&](const ModelShape *Each) {
+      return std::pair(Assigned[Each->Name] / std::max(Each->Share, 0.01),
+                       -Each->Share);
+    };
+    std::stable_sort(
+        Order.begin(), Order.end(),
+        [&](const auto *A, const auto *B) { return Need(A) < Need(B); });
+    return Order;
   }
 
   // Divides the engines beyond the groups among the models, the largest groups
@@ -396,14 +423,7 @@
   }
 
   void formGroups(Domain &Own) {
-    std::vector<const ModelShape *> Order;
-    for (const ModelShape &Model : Shape.Models)
-      Order.push_back(&Model);
-    std::sort(Order.begin(), Order.end(), [&](const auto *A, const auto *B) {
-      return GroupedEngines[A->Name] / std::max(A->Share, 0.01) <
-             GroupedEngines[B->Name] / std::max(B->Share, 0.01);
-    });
-    for (const ModelShape *Model : Order) {
+    for (const ModelShape *Model : byNeed(GroupedEngines)) {
       while (formOne(Own, *Model)) {
       }
     }
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -19,16 +19,17 @@
   State.set_duty_term(Report.DutyTerm);
   State.set_duty_renewal(Report.DutyRenewal);
   std::set<UpstreamKey> Keys = Report.Stalled;
-  for (const auto &[Key, Running] : Report.Running)
+  for (const auto &[Key, Load] : Report.Loads)
     Keys.insert(Key);
   for (const UpstreamKey &Key : Keys) {
     wire::UpstreamLoad &Load = *State.add_loads();
-    auto Running = Report.Running.find(Key);
+    auto Found = Report.Loads.find(Key);
+    UpstreamLoad Own =
+        Found == Report.Loads.end() ? UpstreamLoad{} : Found->second;
     Load.set_instance(Key.Instance.str());
     Load.set_epoch(Key.Epoch);
-    Load.set_running(Running == Report.Running.end()
-                         ? 0
-                         : static_cast<std::uint32_t>(Running->second));
+    Load.set_running(static_cast<std::uint32_t>(Own.Running));
+    Load.set_pending_tokens(static_cast<std::uint32_t>(Own.PendingTokens));
     Load.set_stalled(Report.Stalled.contains(Key));
   }
   for (const BreakOff &Each : Report.BreakOffs) {
@@ -59,7 +60,8 @@
   for (const wire::UpstreamLoad &Each : State.loads()) {
     UpstreamKey Key{InstanceId(Each.instance()), Each.epoch()};
     if (Each.running() > 0)
-      Report.Running[Key] = static_cast<int>(Each.running());
+      Report.Loads[Key] = {static_cast<int>(Each.running()),
+                           Each.pending_tokens()};
     if (Each.stalled())
       Report.Stalled.insert(Key);
   }
@@ -158,20 +160,21 @@
   }
 }
 
-std::map<UpstreamKey, int> PeerGossip::runningElsewhere() const {
+std::map<UpstreamKey, UpstreamLoad> PeerGossip::loadElsewhere() const {
   TimePoint Now = Timers.now();
-  std::map<UpstreamKey, int> Sum;
+  std::map<UpstreamKey, UpstreamLoad> Sum;
   for (const auto &[Entry, Peer] : Peers) {
     if (Now - Peer.HeardAt > Settings.LoadMaxAge)
       continue;
-    for (const auto &[Key, Running] : Peer.Last.Running)
-      Sum[Key] += Running;
+    for (const auto &[Key, Load] : Peer.Last.Loads) {
+      Sum[Key].Running += Load.Running;
+      Sum[Key].PendingTokens += Load.PendingTokens;
+    }
   }
   return Sum;
 }
 
-std::optional<TimePoint>
-PeerGossip::zoneHeardSince(const ZoneId &Zone) const {
+std::optional<TimePoint> PeerGossip::zoneHeardSince(const ZoneId &Zone) const {
   TimePoint Now = Timers.now();
   std::optional<TimePoint> Since;
   for (const auto &[Entry, Peer] : Peers) {
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -167,6 +167,11 @@
     Query.ColdPerSecond = Shape->ColdPerSecond;
     Query.Tried = Tried;
     Query.ExtraSlots = Shape->Engine ? 0 : Owner.Settings.PlainQueue;
+    if (Shape->Engine) {
+      Query.Engine = &*Shape->Engine;
+      Query.Shape = findModel(*Shape, Facts.Model);
+      Query.PromptTokens = Facts.PromptTokens;
+    }
     return Query;
   }
 
@@ -186,13 +191,14 @@
     ++Attempts;
     HeadSeen = false;
     Collected = {};
-    noteSent(shared().Book, Key, Shape->ColdPerSecond, AttemptAt);
+    AwaitsFirst = true;
+    noteSent(shared().Book, Key, query(), AttemptAt);
     spdlog::info(
         "event=sent request={} attempt={} upstream={} epoch={} zone={} "
         "running={} elsewhere={} waited_ms={} left_ms={} resume={}",
         Facts.Id, Attempts, Key.Instance.str(), Key.Epoch, Chosen.Zone.str(),
-        shared().Book.Upstreams.at(Key).Running,
-        shared().Book.Upstreams.at(Key).RunningElsewhere, ageMs(),
+        shared().Book.Upstreams.at(Key).Own.Running,
+        shared().Book.Upstreams.at(Key).Elsewhere.Running, ageMs(),
         toMilliseconds(Sent.TimeLeft), Splitter.LastId ? *Splitter.LastId : -1);
     ExchangeOptions Options;
     Options.AnswerHasNoBody = Caller->Request.Method == "HEAD";
@@ -256,6 +262,23 @@
     noteProgress(shared().Book, *Running, HeardAt);
   }
 
+  // Takes the first event's news, or the pause since the last one.
+  void heardEvents() {
+    TimePoint Now = now();
+    if (AwaitsFirst)
+      firstEvent();
+    else if (const ModelShape *Model = findModel(*Shape, Facts.Model))
+      noteGap(shared().Book, *Running, Now - EventAt, *Shape->Engine, *Model);
+    EventAt = Now;
+  }
+
+  void firstEvent() {
+    if (!AwaitsFirst || !Running)
+      return;
+    AwaitsFirst = false;
+    noteFirstEvent(shared().Book, *Running, Facts.PromptTokens);
+  }
+
   void body(std::string_view Part) {
     heard();
     if (State != FlowState::Streaming) {
@@ -266,7 +289,10 @@
       return;
     }
     std::string Whole = takeEvents(Splitter, Part);
-    if (!Gone && !Whole.empty())
+    if (Whole.empty())
+      return;
+    heardEvents();
+    if (!Gone)
       Caller->streamPart(Whole);
   }
 
@@ -452,6 +478,7 @@
   void endAttempt(bool Failed) {
     if (!Running)
       return;
+    firstEvent();
     noteEnded(shared().Book, *Running, Failed);
     Running.reset();
   }
@@ -518,6 +545,7 @@
   TimePoint WaitingSince{};
   TimePoint AttemptAt{};
   TimePoint HeardAt{};
+  TimePoint EventAt{};
   std::uint64_t Fingerprint = 0;
   std::optional<UpstreamKey> Running;
   std::shared_ptr<Exchange> Attempt;
@@ -527,6 +555,7 @@
   bool Arrived = false; // at some upstream
   bool MayHaveRun = false;
   bool HeadSeen = false;
+  bool AwaitsFirst = false; // no event of this attempt yet
   bool HeadForwarded = false;
   bool Overflow = false;
   bool NoBudget = false;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -288,8 +288,8 @@
   Made.ConfigurationVersion = Config ? Config->Version : 0;
   TimePoint Now = Timers.now();
   for (const auto &[Key, State] : Book.Upstreams) {
-    if (State.Running > 0)
-      Made.Running[Key] = State.Running;
+    if (State.Own.Running > 0)
+      Made.Loads[Key] = State.Own;
     if (State.Avoid == AvoidReason::Stalled && Now < State.AvoidUntil)
       Made.Stalled.insert(Key);
   }
@@ -304,6 +304,7 @@
 
 void ServingEntry::heard(const EntryReport &Report) {
   Groups.heard(Report);
+  setLoadElsewhere(Book, Peers.loadElsewhere());
   for (const BreakOff &Each : Report.BreakOffs)
     noteBreakOff(Crashes, Each);
   TimePoint Now = Timers.now();
@@ -312,7 +313,7 @@
     if (Found == Book.Upstreams.end() || Now < Found->second.AvoidUntil)
       continue;
     // Requests of this entry that move there are better evidence.
-    if (Found->second.Running > 0)
+    if (Found->second.Own.Running > 0)
       continue;
     avoid(Book, Key, AvoidReason::Unreachable, Now + ToldStallAvoidance);
   }
@@ -321,12 +322,12 @@
 void ServingEntry::tick() {
   TimePoint Now = Timers.now();
   expire(Crashes, BreakOffShare, Now);
+  setLoadElsewhere(Book, Peers.loadElsewhere());
   int Entries = static_cast<int>(Peers.peers().size()) + 1;
   if (Entries > 1) {
     Retries.Bounds = retryBounds(Settings, Entries);
     Book.Limits.Entries = Entries;
   }
-  setRunningElsewhere(Book, Peers.runningElsewhere());
   std::vector<InstanceId> Gone;
   for (const auto &[Id, Since] : Lapsed) {
     if (Now - Since >= LapsedGrace)
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -1,12 +1,16 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace samphirehill::serving {
 namespace {
 
 // Weight of the newest request in the share of failures.
 constexpr double FailureWeight = 0.2;
+// Weight of the newest pause in the slowness, and its bounds.
+constexpr double SlownessWeight = 0.08;
+constexpr double HighestSlowness = 20.0;
 // Requests that one entry may send a cold upstream at once.
 constexpr double ColdBurst = 1.0;
 
@@ -22,17 +26,58 @@
   return PerSecond > 0 && Now < State.Known.ColdUntil;
 }
 
+UpstreamLoad sum(const UpstreamLoad &Left, const UpstreamLoad &Right) {
+  return {Left.Running + Right.Running,
+          Left.PendingTokens + Right.PendingTokens};
+}
+
+// Time of one pass over all running requests, without reading.
+double writingSeconds(const UpstreamLoad &Load, const EngineShape &Engine) {
+  return Engine.EventSteps * (toSeconds(Engine.Step) +
+                              toSeconds(Engine.StepPerRequest) * Load.Running);
+}
+
+// Returns how late an answer is expected, in seconds.
 double score(const UpstreamState &State, const PlacementQuery &Query,
              const PlacementLimits &Limits) {
-  double Load = State.Running + State.RunningElsewhere + 1.0;
-  double Score = Load / std::max(State.Known.Slots, 1);
+  UpstreamLoad Load = sum(State.Own, State.Elsewhere);
+  double Score = 0;
+  if (Query.Engine && Query.Shape)
+    Score = State.Slowness *
+            toSeconds(expectedFirstEvent(Load, Query.PromptTokens,
+                                         *Query.Engine, *Query.Shape));
+  else
+    Score = toSeconds(Limits.PlainWork) * (Load.Running + 1) /
+            std::max(State.Known.Slots, 1);
   if (State.Known.Zone != Query.OwnZone)
-    Score += Limits.OtherZonePenalty;
-  return Score + Limits.FailurePenalty * State.FailureShare;
+    Score += toSeconds(Limits.OtherZonePenalty);
+  return Score + toSeconds(Limits.FailurePenalty) * State.FailureShare;
 }
 
 } // namespace
 
+Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
+                            const EngineShape &Engine,
+                            const ModelShape &Shape) {
+  double Tokens = static_cast<double>(Load.PendingTokens + PromptTokens);
+  double Passes =
+      std::ceil(Tokens / std::max<double>(Engine.TokensPerPass, 1.0));
+  double Seconds = Tokens / std::max(Engine.PromptTokensPerSecond, 1.0) +
+                   std::max(Passes, 1.0) * writingSeconds(Load, Engine);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds * Shape.Pace));
+}
+
+Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
+                     const ModelShape &Shape) {
+  auto Read = static_cast<double>(
+      std::min<std::int64_t>(Load.PendingTokens, Engine.TokensPerPass));
+  double Seconds = writingSeconds(Load, Engine) +
+                   Read / std::max(Engine.PromptTokensPerSecond, 1.0);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds * Shape.Pace));
+}
+
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable) {
   std::set<UpstreamKey> Present;
   for (const Upstream &Each : Usable) {
@@ -57,7 +102,7 @@
     if (Query.Tried.contains(Key))
       continue;
     Result.Reason = NoPlace::Full;
-    if (State.Running + State.RunningElsewhere >=
+    if (State.Own.Running + State.Elsewhere.Running >=
         Known.Slots + Query.ExtraSlots)
       continue;
     if (isCold(State, Query.ColdPerSecond, Now) &&
@@ -80,19 +125,20 @@
   return Result;
 }
 
-void noteSent(UpstreamBook &Book, const UpstreamKey &Key, double ColdPerSecond,
-              TimePoint Now) {
+void noteSent(UpstreamBook &Book, const UpstreamKey &Key,
+              const PlacementQuery &Query, TimePoint Now) {
   auto Found = Book.Upstreams.find(Key);
   if (Found == Book.Upstreams.end())
     return;
   UpstreamState &State = Found->second;
-  if (State.Running == 0)
+  if (State.Own.Running == 0)
     State.LastProgress = Now;
-  ++State.Running;
-  if (!isCold(State, ColdPerSecond, Now))
+  ++State.Own.Running;
+  State.Own.PendingTokens += Query.PromptTokens;
+  if (!isCold(State, Query.ColdPerSecond, Now))
     return;
   State.ColdTokens =
-      coldTokens(State, ColdPerSecond, Book.Limits.Entries, Now) - 1;
+      coldTokens(State, Query.ColdPerSecond, Book.Limits.Entries, Now) - 1;
   State.ColdTokensAt = Now;
 }
 
@@ -101,7 +147,9 @@
   if (Found == Book.Upstreams.end())
     return;
   UpstreamState &State = Found->second;
-  State.Running = std::max(State.Running - 1, 0);
+  State.Own.Running = std::max(State.Own.Running - 1, 0);
+  if (State.Own.Running == 0)
+    State.Own.PendingTokens = 0;
   State.FailureShare +=
       FailureWeight * ((Failed ? 1.0 : 0.0) - State.FailureShare);
 }
@@ -127,11 +175,35 @@
   Found->second.AvoidUntil = Until;
 }
 
-void setRunningElsewhere(UpstreamBook &Book,
-                         const std::map<UpstreamKey, int> &Running) {
+void noteFirstEvent(UpstreamBook &Book, const UpstreamKey &Key,
+                    std::int64_t PromptTokens) {
+  auto Found = Book.Upstreams.find(Key);
+  if (Found == Book.Upstreams.end())
+    return;
+  std::int64_t &Pending = Found->second.Own.PendingTokens;
+  Pending = std::max<std::int64_t>(Pending - PromptTokens, 0);
+}
+
+void noteGap(UpstreamBook &Book, const UpstreamKey &Key, Duration Observed,
+             const EngineShape &Engine, const ModelShape &Shape) {
+  auto Found = Book.Upstreams.find(Key);
+  if (Found == Book.Upstreams.end())
+    return;
+  UpstreamState &State = Found->second;
+  double Expected =
+      toSeconds(expectedGap(sum(State.Own, State.Elsewhere), Engine, Shape));
+  if (Expected <= 0)
+    return;
+  double Ratio =
+      std::clamp(toSeconds(Observed) / Expected, 1.0, HighestSlowness);
+  State.Slowness += SlownessWeight * (Ratio - State.Slowness);
+}
+
+void setLoadElsewhere(UpstreamBook &Book,
+                      const std::map<UpstreamKey, UpstreamLoad> &Loads) {
   for (auto &[Key, State] : Book.Upstreams) {
-    auto Found = Running.find(Key);
-    State.RunningElsewhere = Found == Running.end() ? 0 : Found->second;
+    auto Found = Loads.find(Key);
+    State.Elsewhere = Found == Loads.end() ? UpstreamLoad{} : Found->second;
   }
 }
 
