Plan groups over all domains; keep weights of the model that is short of engines

Cause: the plan gave each domain what its own free engines allowed. Survivors of a large group were reloaded for the small model, whose groups grew to eight while those of the large one fell to two; loads take 16 s and a member is lost every 3 s. Spares now follow the models' shares over all domains, an engine keeps the weights of a model that has fewer engines for its share, and requests whose whole answer is not expected in time rank their upstream behind.

Ruled out: groups over several domains, tried and reverted.

--- a/include/samphirehill/Serving/Fleet.h
+++ b/include/samphirehill/Serving/Fleet.h
@@ -84,6 +84,7 @@
   int Slots = 1;
   TimePoint ColdUntil{}; // of the instance that takes the requests
   std::vector<InstanceId> Members;
+  double Pace = 1.0; // factor on its times
 
   bool operator==(const Upstream &) const = default;
 };
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -50,6 +50,9 @@
   Duration OtherZonePenalty = milliseconds(6);
   // Time by which an instance that fails all requests ranks behind others.
   Duration FailurePenalty = milliseconds(400);
+  // Part of the time left that a whole answer may be expected to take; an
+  // upstream that needs more ranks behind by what it needs.
+  double AnswerPart = 0.75;
   // Mean time of a plain service's request, for ranking its instances.
   Duration PlainWork = milliseconds(40);
   // Share of a cold upstream's request rate that one entry may use; the sum
@@ -66,19 +69,20 @@
   // Requests beyond the slots that an upstream may hold; plain services queue.
   int ExtraSlots = 0;
   std::int64_t PromptTokens = 0;
+  std::int64_t OutputTokens = 0; // at most
+  Duration TimeLeft{};
   const EngineShape *Engine = nullptr; // null: a plain service
-  const ModelShape *Shape = nullptr;
 };
 
 // Returns the expected time to the first event of a request with PromptTokens
 // at an upstream with Load. Requests are read in the order of their arrival,
 // one chunk in each pass, and each pass moves all running requests on.
 Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
-                            const EngineShape &Engine, const ModelShape &Shape);
+                            const EngineShape &Engine, double Pace);
 
 // Returns the expected pause between two events at an upstream with Load.
 Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
-                     const ModelShape &Shape);
+                     double Pace);
 
 enum class NoPlace { Absent, Full };
 
@@ -111,7 +115,7 @@
 
 // Notes the pause between two events of a request.
 void noteGap(UpstreamBook &Book, const UpstreamKey &Key, Duration Observed,
-             const EngineShape &Engine, const ModelShape &Shape);
+             const EngineShape &Engine);
 
 // Counts the end of a request. Failed tells a failure of the upstream itself.
 void noteEnded(UpstreamBook &Book, const UpstreamKey &Key, bool Failed);
--- a/lib/Serving/Fleet.cpp
+++ b/lib/Serving/Fleet.cpp
@@ -71,6 +71,7 @@
     Made.Members.clear();
     for (const InstanceRecord *Each : Members)
       Made.Members.push_back(Each->Listed.Id);
+    Made.Pace = Shape->Pace;
     Usable.push_back(std::move(Made));
   }
   return Usable;
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -32,8 +32,9 @@
   std::vector<const PlannedInstance *> Usable;
   std::vector<const PlannedInstance *> Free;
   std::map<std::string, DomainModel> Models;
-  int Room = 0;   // engines beyond the groups that it is to have
-  int Spares = 0; // engines that no second group of a model may take
+  int InGroups = 0; // usable engines that serve or form
+  int Room = 0;     // engines beyond the groups that it is to have
+  int Spares = 0;   // engines that no second group of a model may take
 };
 
 class Planner {
@@ -321,7 +322,9 @@
       Own.Usable.push_back(&Each);
       for (const std::string &Model : stagedOrLoading(Each))
         ++Own.Models[Model].Staged;
-      if (!Bound.contains(Each.Listed.Id))
+      if (Bound.contains(Each.Listed.Id))
+        ++Own.InGroups;
+      else
         Own.Free.push_back(&Each);
     }
   }
@@ -348,18 +351,17 @@
   void planQuotas() {
     std::map<std::string, double> Assigned = GroupedEngines;
     for (auto &[Name, Each] : Domains) {
-      Each.Room = static_cast<int>(Each.Usable.size());
-      Each.Spares = static_cast<int>(Each.Room * State.Settings.SparePart);
+      auto Engines = static_cast<int>(Each.Usable.size());
+      Each.Spares = static_cast<int>(Engines * State.Settings.SparePart);
+      Each.Room = Engines - Each.InGroups;
       for (const ModelShape &Model : Shape.Models) {
         DomainModel &Own = Each.Models[Model.Name];
         Own.WantedGroups = Own.Groups;
-        Each.Room -= Own.Groups * Model.GroupSize;
       }
     }
     while (assignOne(Assigned)) {
     }
-    for (auto &[Name, Each] : Domains)
-      planSpares(Each);
+    planSpares();
   }
 
   bool assignOne(std::map<std::string, double> &Assigned) {
@@ -403,23 +405,33 @@
     return Order;
   }
 
-  // Divides the engines beyond the groups among the models, the largest groups
-  // first: they lose members most often.
-  void planSpares(Domain &Own) {
-    int Left = static_cast<int>(Own.Usable.size());
-    std::vector<const ModelShape *> BySize;
-    for (const ModelShape &Model : Shape.Models) {
-      DomainModel &Each = Own.Models[Model.Name];
-      Each.WantedStaged = Each.WantedGroups * Model.GroupSize;
-      Left -= Each.WantedStaged;
-      if (Each.WantedGroups > 0)
-        BySize.push_back(&Model);
+  // Divides the engines beyond the groups among the models by their shares.
+  void planSpares() {
+    std::map<std::string, double> Staged;
+    for (auto &[Name, Each] : Domains) {
+      for (const ModelShape &Model : Shape.Models) {
+        DomainModel &Own = Each.Models[Model.Name];
+        Own.WantedStaged = Own.WantedGroups * Model.GroupSize;
+        Staged[Model.Name] += Own.WantedStaged;
+      }
     }
-    std::sort(BySize.begin(), BySize.end(), [](const auto *A, const auto *B) {
-      return A->GroupSize > B->GroupSize;
-    });
-    for (int Index = 0; Index < Left && !BySize.empty(); ++Index)
-      ++Own.Models[BySize[Index % BySize.size()]->Name].WantedStaged;
+    for (auto &[Name, Each] : Domains) {
+      for (int Left = Each.Room; Left > 0; --Left) {
+        const ModelShape *Model = byNeed(Staged).front();
+        ++Each.Models[Model->Name].WantedStaged;
+        ++Staged[Model->Name];
+      }
+    }
+  }
+
+  // Whether Left has fewer engines in groups for its share than Right.
+  bool needs(const std::string &Left, const std::string &Right) {
+    std::vector<const ModelShape *> Order = byNeed(GroupedEngines);
+    for (const ModelShape *Each : Order) {
+      if (Each->Name == Left || Each->Name == Right)
+        return Each->Name == Left && Left != Right;
+    }
+    return false;
   }
 
   void formGroups(Domain &Own) {
@@ -450,7 +462,7 @@
       if (!loadsAllowed(Loads))
         return false;
       Ready.insert(Ready.end(), Blank.begin(), Blank.end());
-    } else if (!Wanted && Ready.size() < Size + 1) {
+    } else if (!Wanted) {
       return false;
     }
     sortCandidates(Ready, Model);
@@ -514,9 +526,10 @@
       Orders.push_back(joinOrder(Made, Id));
       Bound.insert(Id);
     }
-    std::erase_if(Own.Free, [&](const PlannedInstance *Each) {
-      return Bound.contains(Each->Listed.Id);
-    });
+    for (auto &[Name, Each] : Domains)
+      std::erase_if(Each.Free, [&](const PlannedInstance *Engine) {
+        return Bound.contains(Engine->Listed.Id);
+      });
     ++Own.Models[Model.Name].Groups;
     GroupedEngines[Model.Name] += Model.GroupSize;
     State.Forming[Made.Epoch] = std::move(Made);
@@ -555,7 +568,7 @@
   }
 
   const ModelShape *wantedStage(const Domain &Own,
-                                const PlannedInstance &Each) const {
+                                const PlannedInstance &Each) {
     for (const std::string &Old : Each.Listed.Staged) {
       auto Has = Own.Models.find(Old);
       if (Has != Own.Models.end() &&
@@ -565,6 +578,11 @@
     const ModelShape *Best = nullptr;
     int BestMissing = 0;
     for (const ModelShape &Model : Shape.Models) {
+      // An engine that has the weights of a model with fewer engines for its
+      // share keeps them.
+      if (!Each.Listed.Staged.empty() &&
+          needs(Each.Listed.Staged.front(), Model.Name))
+        continue;
       auto Found = Own.Models.find(Model.Name);
       if (Found == Own.Models.end())
         continue;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -169,8 +169,9 @@
     Query.ExtraSlots = Shape->Engine ? 0 : Owner.Settings.PlainQueue;
     if (Shape->Engine) {
       Query.Engine = &*Shape->Engine;
-      Query.Shape = findModel(*Shape, Facts.Model);
       Query.PromptTokens = Facts.PromptTokens;
+      Query.OutputTokens = Facts.OutputTokens;
+      Query.TimeLeft = Deadline - now();
     }
     return Query;
   }
@@ -267,8 +268,8 @@
     TimePoint Now = now();
     if (AwaitsFirst)
       firstEvent();
-    else if (const ModelShape *Model = findModel(*Shape, Facts.Model))
-      noteGap(shared().Book, *Running, Now - EventAt, *Shape->Engine, *Model);
+    else if (Shape->Engine)
+      noteGap(shared().Book, *Running, Now - EventAt, *Shape->Engine);
     EventAt = Now;
   }
 
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -37,15 +37,32 @@
                               toSeconds(Engine.StepPerRequest) * Load.Running);
 }
 
+// Returns how late the first event is expected, in seconds, and more where the
+// whole answer is not expected in time.
+double generationScore(const UpstreamState &State, const PlacementQuery &Query,
+                       const PlacementLimits &Limits) {
+  UpstreamLoad Load = sum(State.Own, State.Elsewhere);
+  double Pace = State.Known.Pace;
+  double First = toSeconds(
+      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
+  ++Load.Running;
+  Load.PendingTokens = Query.Engine->TokensPerPass / 2;
+  double Events = static_cast<double>(Query.OutputTokens) /
+                  std::max(Query.Engine->EventSteps, 1);
+  double Whole =
+      First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
+  bool InTime =
+      Whole * State.Slowness <= Limits.AnswerPart * toSeconds(Query.TimeLeft);
+  return InTime ? First : First + Whole;
+}
+
 // Returns how late an answer is expected, in seconds.
 double score(const UpstreamState &State, const PlacementQuery &Query,
              const PlacementLimits &Limits) {
   UpstreamLoad Load = sum(State.Own, State.Elsewhere);
   double Score = 0;
-  if (Query.Engine && Query.Shape)
-    Score = State.Slowness *
-            toSeconds(expectedFirstEvent(Load, Query.PromptTokens,
-                                         *Query.Engine, *Query.Shape));
+  if (Query.Engine)
+    Score = State.Slowness * generationScore(State, Query, Limits);
   else
     Score = toSeconds(Limits.PlainWork) * (Load.Running + 1) /
             std::max(State.Known.Slots, 1);
@@ -57,25 +74,24 @@
 } // namespace
 
 Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
-                            const EngineShape &Engine,
-                            const ModelShape &Shape) {
+                            const EngineShape &Engine, double Pace) {
   double Tokens = static_cast<double>(Load.PendingTokens + PromptTokens);
   double Passes =
       std::ceil(Tokens / std::max<double>(Engine.TokensPerPass, 1.0));
   double Seconds = Tokens / std::max(Engine.PromptTokensPerSecond, 1.0) +
                    std::max(Passes, 1.0) * writingSeconds(Load, Engine);
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds * Shape.Pace));
+      std::chrono::duration<double>(Seconds * Pace));
 }
 
 Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
-                     const ModelShape &Shape) {
+                     double Pace) {
   auto Read = static_cast<double>(
       std::min<std::int64_t>(Load.PendingTokens, Engine.TokensPerPass));
   double Seconds = writingSeconds(Load, Engine) +
                    Read / std::max(Engine.PromptTokensPerSecond, 1.0);
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds * Shape.Pace));
+      std::chrono::duration<double>(Seconds * Pace));
 }
 
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable) {
@@ -185,13 +201,13 @@
 }
 
 void noteGap(UpstreamBook &Book, const UpstreamKey &Key, Duration Observed,
-             const EngineShape &Engine, const ModelShape &Shape) {
+             const EngineShape &Engine) {
   auto Found = Book.Upstreams.find(Key);
   if (Found == Book.Upstreams.end())
     return;
   UpstreamState &State = Found->second;
-  double Expected =
-      toSeconds(expectedGap(sum(State.Own, State.Elsewhere), Engine, Shape));
+  double Expected = toSeconds(
+      expectedGap(sum(State.Own, State.Elsewhere), Engine, State.Known.Pace));
   if (Expected <= 0)
     return;
   double Ratio =
