--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -58,7 +58,7 @@
 struct GroupPlanSettings {
   // Part of a fabric domain that is kept as staged spares: a group that loses a
   // member is whole again within a warm start instead of a load.
-  double SparePart = 0.16;
+  double SparePart = 0.12;
   // An order without effect is given again after this.
   Duration OrderRepeat = milliseconds(1200);
   // Time beyond the expected one after which a group that forms is given up.
