Test the serving decisions; check header names; place large groups first

Tests found: the parsing library accepts "Content-Length : 4", which another reader takes for the end of the headers; names and values are now checked. The greedy plan gave 7 large and 10 small groups of 48 engines where the shares ask for 8 and 8; the targets are now counted as if all engines were of one domain and large groups are placed first. A spare was reloaded for a model that had more engines for its share than its own.

--- a/include/samphirehill/Serving/HttpMessage.h
+++ b/include/samphirehill/Serving/HttpMessage.h
@@ -1,5 +1,6 @@
 // HTTP/1.1 messages as values, and a reader that turns bytes into them.
-// Parsing is the library's (http_parser, in its strict mode).
+// Parsing is the library's (http_parser); header names and values are checked
+// more strictly.
 #ifndef SAMPHIREHILL_SERVING_HTTPMESSAGE_H
 #define SAMPHIREHILL_SERVING_HTTPMESSAGE_H
 
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -359,27 +359,69 @@
         Own.WantedGroups = Own.Groups;
       }
     }
-    while (assignOne(Assigned)) {
+    std::map<std::string, int> Targets = groupTargets(Assigned);
+    for (const ModelShape *Model : bySize()) {
+      while (Targets[Model->Name]-- > 0 && assignOne(*Model, Assigned)) {
+      }
+    }
+    // What is left over, where the domains are too small for the targets.
+    for (const ModelShape *Model : byNeed(Assigned)) {
+      while (assignOne(*Model, Assigned)) {
+      }
     }
     planSpares();
   }
 
-  bool assignOne(std::map<std::string, double> &Assigned) {
-    std::vector<const ModelShape *> Order = byNeed(Assigned);
-    for (const ModelShape *Model : Order) {
-      Domain *Best = nullptr;
-      for (auto &[Name, Each] : Domains) {
-        if (fits(Each, *Model) && (!Best || Each.Room > Best->Room))
-          Best = &Each;
+  // Returns the groups to add by model, as if all engines were of one domain.
+  std::map<std::string, int>
+  groupTargets(std::map<std::string, double> Assigned) const {
+    int Room = 0;
+    for (const auto &[Name, Each] : Domains)
+      Room += Each.Room - Each.Spares;
+    std::map<std::string, int> Targets;
+    bool Added = true;
+    while (Added) {
+      Added = false;
+      for (const ModelShape *Model : byNeed(Assigned)) {
+        if (Model->GroupSize > Room)
+          continue;
+        Room -= Model->GroupSize;
+        Assigned[Model->Name] += Model->GroupSize;
+        ++Targets[Model->Name];
+        Added = true;
+        break;
       }
-      if (!Best)
-        continue;
-      ++Best->Models[Model->Name].WantedGroups;
-      Best->Room -= Model->GroupSize;
-      Assigned[Model->Name] += Model->GroupSize;
-      return true;
     }
-    return false;
+    return Targets;
+  }
+
+  // Gives one more group of Model to the domain with the most room.
+  bool assignOne(const ModelShape &Model,
+                 std::map<std::string, double> &Assigned) {
+    Domain *Best = nullptr;
+    for (auto &[Name, Each] : Domains) {
+      if (fits(Each, Model) && (!Best || Each.Room > Best->Room))
+        Best = &Each;
+    }
+    if (!Best)
+      return false;
+    ++Best->Models[Model.Name].WantedGroups;
+    Best->Room -= Model.GroupSize;
+    Assigned[Model.Name] += Model.GroupSize;
+    return true;
+  }
+
+  // Returns the models, the largest groups first: they are the hardest to
+  // place.
+  std::vector<const ModelShape *> bySize() const {
+    std::vector<const ModelShape *> Order;
+    for (const ModelShape &Model : Shape.Models)
+      Order.push_back(&Model);
+    std::stable_sort(Order.begin(), Order.end(),
+                     [](const auto *A, const auto *B) {
+                       return A->GroupSize > B->GroupSize;
+                     });
+    return Order;
   }
 
   // Spares are kept free, but not at the price of a model's only group in the
@@ -391,13 +433,14 @@
 
   // Returns the models, those with the fewest engines for their share first.
   std::vector<const ModelShape *>
-  byNeed(std::map<std::string, double> &Assigned) const {
+  byNeed(const std::map<std::string, double> &Assigned) const {
     std::vector<const ModelShape *> Order;
     for (const ModelShape &Model : Shape.Models)
       Order.push_back(&Model);
     auto Need = [&](const ModelShape *Each) {
-      return std::pair(Assigned[Each->Name] / std::max(Each->Share, 0.01),
-                       -Each->Share);
+      auto Found = Assigned.find(Each->Name);
+      double Has = Found == Assigned.end() ? 0.0 : Found->second;
+      return std::pair(Has / std::max(Each->Share, 0.01), -Each->Share);
     };
     std::stable_sort(
         Order.begin(), Order.end(),
@@ -424,14 +467,22 @@
     }
   }
 
-  // Whether Left has fewer engines in groups for its share than Right.
-  bool needs(const std::string &Left, const std::string &Right) {
-    std::vector<const ModelShape *> Order = byNeed(GroupedEngines);
-    for (const ModelShape *Each : Order) {
-      if (Each->Name == Left || Each->Name == Right)
-        return Each->Name == Left && Left != Right;
+  // Whether an engine may give up the weights of Old for those of New: Old
+  // keeps no fewer engines for its share than New then has.
+  bool mayGiveUp(const std::string &Old, const ModelShape &New) const {
+    double HasOld = 0;
+    double HasNew = 0;
+    for (const auto &[Name, Each] : Domains) {
+      auto FoundOld = Each.Models.find(Old);
+      auto FoundNew = Each.Models.find(New.Name);
+      HasOld += FoundOld == Each.Models.end() ? 0 : FoundOld->second.Staged;
+      HasNew += FoundNew == Each.Models.end() ? 0 : FoundNew->second.Staged;
     }
-    return false;
+    const ModelShape *Shape = findModel(Service, Old);
+    if (!Shape)
+      return true;
+    return (HasOld - 1) / std::max(Shape->Share, 0.01) >=
+           (HasNew + 1) / std::max(New.Share, 0.01);
   }
 
   void formGroups(Domain &Own) {
@@ -578,10 +629,8 @@
     const ModelShape *Best = nullptr;
     int BestMissing = 0;
     for (const ModelShape &Model : Shape.Models) {
-      // An engine that has the weights of a model with fewer engines for its
-      // share keeps them.
       if (!Each.Listed.Staged.empty() &&
-          needs(Each.Listed.Staged.front(), Model.Name))
+          !mayGiveUp(Each.Listed.Staged.front(), Model))
         continue;
       auto Found = Own.Models.find(Model.Name);
       if (Found == Own.Models.end())
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -47,6 +47,31 @@
   }
 }
 
+// Whether Name is a token (RFC 9110, section 5.6.2). The library accepts spaces
+// before the colon, which others read as the end of the headers.
+bool isToken(std::string_view Name) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return !Name.empty() &&
+         std::all_of(Name.begin(), Name.end(), [&](char Letter) {
+           return std::isalnum(static_cast<unsigned char>(Letter)) != 0 ||
+                  Marks.find(Letter) != std::string_view::npos;
+         });
+}
+
+// Whether Value can be sent on without changing what follows it.
+bool isFieldValue(std::string_view Value) {
+  return std::none_of(Value.begin(), Value.end(), [](char Letter) {
+    auto Code = static_cast<unsigned char>(Letter);
+    return (Code < 0x20 && Code != '\t') || Code == 0x7f;
+  });
+}
+
+bool wellFormed(const HeaderList &Headers) {
+  return std::all_of(Headers.begin(), Headers.end(), [](const Header &Each) {
+    return isToken(Each.Name) && isFieldValue(Each.Value);
+  });
+}
+
 std::string responseStart(const HttpResponse &Response, bool Close) {
   std::string Bytes = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
   Bytes += http_status_str(static_cast<enum http_status>(Response.Status));
@@ -166,6 +191,10 @@
     };
     Made.on_headers_complete = [](http_parser *Parser) {
       MessageReader &Self = self(Parser);
+      if (!wellFormed(Self.Headers)) {
+        Self.Failure = ReadError::Malformed;
+        return -1;
+      }
       Self.Status = static_cast<int>(Parser->status_code);
       if (Parser->type == HTTP_REQUEST)
         Self.Method =
--- /dev/null
+++ b/test/Serving/ConfigurationTest.cpp
@@ -0,0 +1,49 @@
+#include "samphirehill/Serving/Configuration.h"
+
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+Route route(const std::string &Host, const std::string &Prefix) {
+  Route Made;
+  Made.Name = Host + Prefix;
+  Made.Host = Host;
+  Made.PathPrefix = Prefix;
+  return Made;
+}
+
+TEST(ConfigurationTest, FindsLongestPrefixOfTheHost) {
+  Configuration Config;
+  Config.Routes = {route("a.example", "/x/"), route("a.example", "/x/y/"),
+                   route("b.example", "/x/y/z/")};
+  EXPECT_EQ(findRoute(Config, "a.example", "/x/y/z/1")->PathPrefix, "/x/y/");
+  EXPECT_EQ(findRoute(Config, "A.example:80", "/x/1?q=/y/")->PathPrefix, "/x/");
+  EXPECT_EQ(findRoute(Config, "c.example", "/x/"), nullptr);
+  EXPECT_EQ(findRoute(Config, "a.example", "/x"), nullptr);
+}
+
+TEST(ConfigurationTest, PicksServicesByWeight) {
+  Route Split;
+  Split.Services = {{ServiceId("one"), 90}, {ServiceId("two"), 10}};
+  EXPECT_EQ(*pickService(Split, 0.0), ServiceId("one"));
+  EXPECT_EQ(*pickService(Split, 0.89), ServiceId("one"));
+  EXPECT_EQ(*pickService(Split, 0.91), ServiceId("two"));
+  EXPECT_EQ(pickService(Route{}, 0.5), nullptr);
+}
+
+TEST(ConfigurationTest, RepeatsOnlyWhatMayBeRepeated) {
+  Route Any;
+  Any.Kind = RequestKind::Safe;
+  EXPECT_TRUE(mayRepeat(Any));
+  Any.Kind = RequestKind::Unsafe;
+  Any.Resumable = true;
+  EXPECT_FALSE(mayRepeat(Any));
+  Any.Kind = RequestKind::Stream;
+  EXPECT_TRUE(mayRepeat(Any));
+  Any.Resumable = false;
+  EXPECT_FALSE(mayRepeat(Any));
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/CrashRecordTest.cpp
@@ -0,0 +1,49 @@
+#include "samphirehill/Serving/CrashRecord.h"
+
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+const TimePoint Start{seconds(100)};
+
+TEST(CrashRecordTest, RefusesAfterDistinctUpstreamsOnly) {
+  CrashRecord Record;
+  noteOwnBreakOff(Record, {1, 10, Start});
+  noteOwnBreakOff(Record, {1, 10, Start + seconds(1)});
+  noteOwnBreakOff(Record, {1, 11, Start});
+  EXPECT_TRUE(mayRun(Record, 1, Start + seconds(2)));
+  noteOwnBreakOff(Record, {1, 12, Start});
+  EXPECT_FALSE(mayRun(Record, 1, Start + seconds(2)));
+  EXPECT_TRUE(mayRun(Record, 2, Start + seconds(2)));
+}
+
+// A caller sends a crashing request again at any entry.
+TEST(CrashRecordTest, CountsWhatOtherEntriesSaw) {
+  CrashRecord Record;
+  for (std::uint64_t Upstream : {10, 11, 12})
+    noteBreakOff(Record, {1, Upstream, Start});
+  EXPECT_FALSE(mayRun(Record, 1, Start));
+  EXPECT_TRUE(Record.Recent.empty());
+}
+
+TEST(CrashRecordTest, ForgetsAfterItsMemory) {
+  CrashRecord Record;
+  for (std::uint64_t Upstream : {10, 11, 12})
+    noteOwnBreakOff(Record, {1, Upstream, Start});
+  EXPECT_TRUE(mayRun(Record, 1, Start + Record.Memory + seconds(1)));
+  expire(Record, seconds(2), Start + Record.Memory + seconds(1));
+  EXPECT_TRUE(Record.Seen.empty());
+  EXPECT_TRUE(Record.Recent.empty());
+}
+
+TEST(CrashRecordTest, TellsRequestsApartByCallerAndBody) {
+  std::uint64_t One = requestFingerprint("/a", "key", "body");
+  EXPECT_EQ(One, requestFingerprint("/a", "key", "body"));
+  EXPECT_NE(One, requestFingerprint("/a", "key2", "body"));
+  EXPECT_NE(One, requestFingerprint("/b", "key", "body"));
+  EXPECT_NE(One, requestFingerprint("/a", "key", "body2"));
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/EventSplitterTest.cpp
@@ -0,0 +1,59 @@
+#include "samphirehill/Serving/EventSplitter.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+TEST(EventSplitterTest, KeepsPartialEventUntilItEnds) {
+  EventSplitter Splitter;
+  EXPECT_EQ(takeEvents(Splitter, "id: 1\ndata: a\n\nid: 2\nda"),
+            "id: 1\ndata: a\n\n");
+  EXPECT_EQ(takeEvents(Splitter, "ta: b\n\n"), "id: 2\ndata: b\n\n");
+  EXPECT_EQ(Splitter.LastId, 2);
+}
+
+// Guards against a piece that reaches the caller twice after a resume.
+TEST(EventSplitterTest, DropsEventsThatTheCallerHas) {
+  EventSplitter Splitter;
+  Splitter.LastId = 7;
+  EXPECT_EQ(takeEvents(Splitter, "id:7\ndata:x\n\nid:8\ndata:y\n\n"),
+            "id:8\ndata:y\n\n");
+}
+
+TEST(EventSplitterTest, ForgetsPartialEventOfBrokenStream) {
+  EventSplitter Splitter;
+  takeEvents(Splitter, "id: 3\ndata: cut");
+  dropPartial(Splitter);
+  EXPECT_EQ(takeEvents(Splitter, "id: 3\ndata: whole\n\n"),
+            "id: 3\ndata: whole\n\n");
+}
+
+TEST(EventSplitterTest, AcceptsCarriageReturns) {
+  EventSplitter Splitter;
+  EXPECT_EQ(takeEvents(Splitter, "id: 1\r\ndata: a\r\n\r\n"),
+            "id: 1\r\ndata: a\r\n\r\n");
+}
+
+RC_GTEST_PROP(EventSplitterTest, PassesWholeStreamOnHoweverItIsCut, ()) {
+  int Count = *rc::gen::inRange(1, 12);
+  std::string Stream;
+  for (int Number = 1; Number <= Count; ++Number)
+    Stream += "id: " + std::to_string(Number) + "\ndata: " +
+              *rc::gen::container<std::string>(rc::gen::inRange('a', 'z')) +
+              "\n\n";
+  EventSplitter Splitter;
+  std::string Passed;
+  std::size_t At = 0;
+  while (At < Stream.size()) {
+    auto Size = *rc::gen::inRange<std::size_t>(1, 9);
+    Passed += takeEvents(Splitter, std::string_view(Stream).substr(At, Size));
+    At += Size;
+  }
+  RC_ASSERT(Passed == Stream);
+  RC_ASSERT(takeRest(Splitter).empty());
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/FleetTest.cpp
@@ -0,0 +1,66 @@
+#include "samphirehill/Serving/Fleet.h"
+#include "Serving/TestFleet.h"
+
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+class FleetViewTest : public testing::Test {
+protected:
+  void add(const Instance &Listed) {
+    Known.Instances[Listed.Id] = {Listed, {}, {}};
+  }
+
+  Fleet Known;
+  Configuration Config = testConfiguration();
+};
+
+// No group serves while a member is missing.
+TEST_F(FleetViewTest, UsesGroupOnlyWhileItIsWhole) {
+  add(member("a", "small.7", 7, 0, MemberPhase::Open));
+  EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+  add(member("b", "small.7", 7, 1, MemberPhase::Ready));
+  std::vector<Upstream> Usable = usableUpstreams(Known, Config);
+  ASSERT_EQ(Usable.size(), 1u);
+  EXPECT_EQ(Usable[0].Key, (UpstreamKey{InstanceId("a"), 7}));
+  EXPECT_EQ(Usable[0].Model, "small");
+  Known.Instances.erase(InstanceId("b"));
+  EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+}
+
+TEST_F(FleetViewTest, NeedsMembersOfOneEpoch) {
+  add(member("a", "small.7", 7, 0, MemberPhase::Open));
+  add(member("b", "small.7", 6, 1, MemberPhase::Ready));
+  EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+}
+
+TEST_F(FleetViewTest, LeavesOutGroupsThatAreNotOpen) {
+  for (MemberPhase Phase : {MemberPhase::Joining, MemberPhase::Ready,
+                            MemberPhase::Closing, MemberPhase::Broken}) {
+    add(member("a", "small.7", 7, 0, Phase));
+    add(member("b", "small.7", 7, 1, MemberPhase::Ready));
+    EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+  }
+}
+
+TEST_F(FleetViewTest, LeavesOutDrainingInstancesAndZonesThatAreOut) {
+  Instance Plain = engine("p", "north-d0");
+  Plain.Service = PlainService;
+  add(Plain);
+  EXPECT_EQ(usableUpstreams(Known, Config).size(), 1u);
+  Known.ZonesOut = {ZoneId("north")};
+  EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+  Known.ZonesOut.clear();
+  Plain.Draining = true;
+  add(Plain);
+  EXPECT_TRUE(usableUpstreams(Known, Config).empty());
+}
+
+TEST_F(FleetViewTest, ReadsModelFromGroupName) {
+  EXPECT_EQ(modelOfGroup(groupName("m.1", 12)), "m.1");
+  EXPECT_EQ(modelOfGroup("foreign"), "");
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/GroupPlanTest.cpp
@@ -0,0 +1,167 @@
+#include "samphirehill/Serving/GroupPlan.h"
+#include "Serving/GroupWorld.h"
+#include "Serving/TestFleet.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+constexpr Duration Tick = milliseconds(200);
+
+// Plans and lets time pass, Ticks times.
+void run(GroupWorld &World, GroupPlanState &State, int Ticks,
+         bool FirstStart = false) {
+  for (int Done = 0; Done < Ticks; ++Done) {
+    World.plan(State, FirstStart);
+    World.advance(Tick);
+  }
+}
+
+TEST(GroupPlanTest, FormsGroupsByShareAtTheFirstStart) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  run(World, State, 110, true);
+  // 0.67 and 0.33 of 48 engines, in groups of 4 and 2.
+  EXPECT_EQ(World.openGroups("large"), 8);
+  EXPECT_EQ(World.openGroups("small"), 8);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+// At the first start engines register one after the other.
+TEST(GroupPlanTest, WaitsForTheListToSettleAtTheFirstStart) {
+  GroupPlanState State;
+  std::vector<PlannedInstance> Known{{engine("a", "north-d0")},
+                                     {engine("b", "north-d0")}};
+  TimePoint Now{seconds(10)};
+  EXPECT_TRUE(planGroups(State, Known, poolShape(), true, Now).empty());
+  Known.push_back({engine("c", "north-d0")});
+  Known.push_back({engine("d", "north-d0")});
+  Now += milliseconds(500);
+  EXPECT_TRUE(planGroups(State, Known, poolShape(), true, Now).empty());
+  Now += milliseconds(700);
+  std::vector<GroupOrder> Orders =
+      planGroups(State, Known, poolShape(), true, Now);
+  ASSERT_EQ(Orders.size(), 4u);
+  EXPECT_EQ(Orders[0].Model, "large");
+}
+
+TEST(GroupPlanTest, MakesGroupWholeAgainFromASpare) {
+  GroupWorld World(1, 8);
+  GroupPlanState State;
+  State.Settings.SparePart = 0.25; // 4 + 2 engines in groups, 2 spares
+  run(World, State, 110, true);
+  ASSERT_EQ(World.openGroups("large"), 1);
+  run(World, State, 100);
+  World.kill(*World.someFollower("large"));
+  // Noticed within 0.7 s; a warm start takes 1.6 s and opening 0.3 s.
+  run(World, State, 20);
+  EXPECT_EQ(World.openGroups("large") + World.openGroups("small"), 2);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+// Trial on the bench: entries of the list that were older than they looked.
+TEST(GroupPlanTest, AsksInstancesBeforeItUsesThemElsewhere) {
+  GroupWorld World(1, 4);
+  GroupPlanState State;
+  run(World, State, 100, true);
+  for (const InstanceId &Id : World.alive())
+    World.freezeListing(Id); // shows the group open for ever
+  GroupPlanState Next;       // of another holder, which knows nothing
+  Next.NextEpoch = 100'000;
+  World.kill(*World.someMember(3));
+  run(World, Next, 60);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+TEST(GroupPlanTest, LeavesMembersAloneWhileAnUnclearHeadMayServe) {
+  GroupPlanState State;
+  ServiceShape OneModel = poolShape();
+  OneModel.Engine->Models = {poolShape().Engine->Models[1]};
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  Instance Other = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  Instance Spare = engine("c", "north-d0");
+  Spare.Staged = {"small"};
+  std::vector<PlannedInstance> Known{
+      {Head, Liveness::Unclear}, {Other}, {Spare}};
+  Known[1].Confirmed = Known[2].Confirmed = true;
+  TimePoint Now{seconds(10)};
+  for (int Round = 0; Round < 50; ++Round, Now += Tick) {
+    for (const GroupOrder &Order :
+         planGroups(State, Known, OneModel, false, Now))
+      EXPECT_NE(Order.Kind, OrderKind::Join);
+  }
+  Known[0].State = Liveness::Gone;
+  Known[0].Listed.Draining = true;
+  std::vector<GroupOrder> Orders =
+      planGroups(State, Known, OneModel, false, Now);
+  EXPECT_EQ(std::count_if(Orders.begin(), Orders.end(),
+                          [](const GroupOrder &Each) {
+                            return Each.Kind == OrderKind::Join;
+                          }),
+            2);
+}
+
+TEST(GroupPlanTest, EndsGroupGracefullyWhenAMemberDrains) {
+  GroupPlanState State;
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  Instance Other = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  Other.Draining = true;
+  std::vector<GroupOrder> Orders = planGroups(
+      State, {{Head}, {Other}}, poolShape(), false, TimePoint{seconds(10)});
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].Kind, OrderKind::Close);
+  EXPECT_EQ(Orders[0].To, InstanceId("a"));
+}
+
+TEST(GroupPlanTest, StaysBelowTheLoadCeiling) {
+  std::vector<PlannedInstance> Known;
+  for (int Number = 0; Number < 24; ++Number)
+    Known.push_back({engine("e" + std::to_string(Number), "north-d0")});
+  GroupPlanState State;
+  TimePoint Now{seconds(10)};
+  int Loads = 0;
+  for (int Round = 0; Round < 5; ++Round, Now += Tick) {
+    for (const GroupOrder &Order :
+         planGroups(State, Known, poolShape(), false, Now))
+      Loads += Order.Kind == OrderKind::Stage;
+  }
+  EXPECT_GT(Loads, 0);
+  EXPECT_LE(Loads, 6);
+}
+
+// Engines die, drain and are listed wrongly, orders take effect late, and the
+// duty passes to entries that know nothing. No engine is ordered into a group
+// while the head of its old one serves, and no group opens that isn't whole.
+RC_GTEST_PROP(GroupPlanTest, KeepsGroupsWholeAndApartInAnyHistory, ()) {
+  GroupWorld World(2, 8);
+  GroupPlanState State;
+  run(World, State, 100, true);
+  std::int64_t Term = 1;
+  for (int Step = 0; Step < 60; ++Step) {
+    int Fate = *rc::gen::inRange(0, 12);
+    auto Which = *rc::gen::inRange<std::size_t>(0, 1'000);
+    std::optional<InstanceId> Member = World.someMember(Which);
+    if (Fate == 0 && Member && World.alive().size() > 6)
+      World.kill(*Member);
+    if (Fate == 1 && Member)
+      World.freezeListing(*Member);
+    if (Fate == 2)
+      World.thawListings();
+    if (Fate == 3 && Member && World.alive().size() > 6)
+      World.drain(*Member);
+    if (Fate == 4)
+      World.delayOrders(milliseconds(*rc::gen::inRange(0, 3) * 2'000));
+    if (Fate == 5) {
+      State = GroupPlanState{};
+      State.NextEpoch = ++Term * 100'000;
+    }
+    run(World, State, 4);
+  }
+  RC_ASSERT(World.Broken == std::vector<std::string>());
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/GroupWorld.cpp
@@ -0,0 +1,232 @@
+#include "Serving/GroupWorld.h"
+#include "Serving/TestFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirehill::serving {
+namespace {
+
+// The list drops an engine that is silent for three heartbeats.
+constexpr Duration ListedAfterDeath = milliseconds(3'600);
+constexpr Duration ProbeNotices = milliseconds(700);
+
+} // namespace
+
+GroupWorld::GroupWorld(int Domains, int EnginesPerDomain) {
+  for (int Domain = 0; Domain < Domains; ++Domain) {
+    for (int Number = 0; Number < EnginesPerDomain; ++Number) {
+      Instance Made = engine(
+          "e" + std::to_string(Domain) + "-" + std::to_string(Number),
+          "zone" + std::to_string(Domain / 2) + "-d" + std::to_string(Domain));
+      Engines[Made.Id].Actual = Made;
+    }
+  }
+}
+
+std::vector<PlannedInstance> GroupWorld::planned() {
+  std::vector<PlannedInstance> Known;
+  for (auto &[Id, Each] : Engines) {
+    if (Each.Dead && Now - Each.DiedAt > ListedAfterDeath * 2)
+      continue;
+    PlannedInstance Seen;
+    auto Old = Frozen.find(Id);
+    Seen.Confirmed = !Each.Dead && Now - Each.ConfirmedAt < seconds(1);
+    bool Stale = Old != Frozen.end() && !Seen.Confirmed;
+    Seen.Listed = Stale ? Old->second : Each.Actual;
+    if (Each.Dead && Now - Each.DiedAt > ListedAfterDeath) {
+      Seen.State = Liveness::Gone;
+      Seen.Listed.Draining = true;
+    } else if (Each.Dead && Now - Each.DiedAt > ProbeNotices) {
+      Seen.State = Liveness::Unclear;
+    }
+    Known.push_back(std::move(Seen));
+  }
+  return Known;
+}
+
+void GroupWorld::plan(GroupPlanState &State, bool FirstStart) {
+  for (const GroupOrder &Order :
+       planGroups(State, planned(), poolShape(), FirstStart, Now)) {
+    ++Orders;
+    if (OrderDelay > Duration::zero() && Order.Kind != OrderKind::Check)
+      Pending.push_back({Now + OrderDelay, Order});
+    else
+      carryOut(Order);
+  }
+}
+
+void GroupWorld::advance(Duration Elapsed) {
+  Now += Elapsed;
+  std::vector<Late> Due;
+  std::erase_if(Pending, [&](const Late &Each) {
+    if (Each.At > Now)
+      return false;
+    Due.push_back(Each);
+    return true;
+  });
+  for (const Late &Each : Due)
+    carryOut(Each.Order);
+  for (auto &[Id, Each] : Engines) {
+    if (Each.Dead)
+      continue;
+    if (!Each.Loading.empty() && Now >= Each.LoadEnds)
+      Each.Actual.Staged = {std::exchange(Each.Loading, {})};
+    std::optional<Membership> &Place = Each.Actual.Group;
+    if (!Place)
+      continue;
+    if (Place->Phase == MemberPhase::Joining && Now >= Each.JoinEnds) {
+      Place->Phase = MemberPhase::Ready;
+      Each.LastModel = modelOfGroup(Place->Group);
+    }
+    if (Each.OpenEnds != TimePoint{} && Now >= Each.OpenEnds) {
+      Each.OpenEnds = TimePoint{};
+      Place->Phase = MemberPhase::Open;
+    }
+  }
+}
+
+const GroupWorld::Engine *GroupWorld::headOf(const Membership &Place) const {
+  for (const auto &[Id, Each] : Engines) {
+    const std::optional<Membership> &Own = Each.Actual.Group;
+    if (!Each.Dead && Own && Own->Rank == 0 && Own->Epoch == Place.Epoch &&
+        Own->Group == Place.Group)
+      return &Each;
+  }
+  return nullptr;
+}
+
+void GroupWorld::join(Engine &To, const GroupOrder &Order) {
+  if (Order.Epoch < To.HighestEpoch)
+    return; // refused
+  std::optional<Membership> &Place = To.Actual.Group;
+  if (Place && Place->Epoch == Order.Epoch)
+    return; // done already
+  if (Place) {
+    const Engine *Head = headOf(*Place);
+    MemberPhase Phase = Head ? Head->Actual.Group->Phase : MemberPhase::Broken;
+    if (Phase == MemberPhase::Open || Phase == MemberPhase::Closing)
+      Broken.push_back("TWO: " + To.Actual.Id.str() + " joined " + Order.Group +
+                       " while the head of " + Place->Group + " was open");
+  }
+  To.HighestEpoch = Order.Epoch;
+  auto Rank =
+      std::find(Order.Members.begin(), Order.Members.end(), To.Actual.Id) -
+      Order.Members.begin();
+  Place = Membership{Order.Group, Order.Epoch, static_cast<int>(Rank),
+                     MemberPhase::Joining};
+  To.OpenEnds = TimePoint{};
+  const ModelShape &Model = *findModel(poolShape(), Order.Model);
+  bool Staged = std::find(To.Actual.Staged.begin(), To.Actual.Staged.end(),
+                          Order.Model) != To.Actual.Staged.end();
+  Duration Takes = To.LastModel == Order.Model ? milliseconds(200)
+                   : Staged                    ? Model.WarmStart
+                                               : Model.Load;
+  if (!Staged)
+    To.Actual.Staged = {Order.Model};
+  To.JoinEnds = Now + Takes;
+}
+
+void GroupWorld::carryOut(const GroupOrder &Order) {
+  Engine &To = Engines.at(Order.To);
+  if (To.Dead)
+    return;
+  std::optional<Membership> &Place = To.Actual.Group;
+  bool Same = Place && Place->Epoch == Order.Epoch;
+  switch (Order.Kind) {
+  case OrderKind::Check:
+    To.ConfirmedAt = Now;
+    return;
+  case OrderKind::Join:
+    return join(To, Order);
+  case OrderKind::Open: {
+    if (!Same || Place->Phase != MemberPhase::Ready)
+      return;
+    int Ready = 0;
+    for (const auto &[Id, Each] : Engines) {
+      const std::optional<Membership> &Own = Each.Actual.Group;
+      if (Own && Own->Epoch == Order.Epoch && Own->Phase == MemberPhase::Ready)
+        ++Ready;
+    }
+    if (Ready < findModel(poolShape(), Order.Model)->GroupSize &&
+        OrderDelay == Duration::zero())
+      Broken.push_back("PARTIAL: " + Order.Group + " opened with " +
+                       std::to_string(Ready));
+    To.OpenEnds = Now + milliseconds(300);
+    return;
+  }
+  case OrderKind::Close:
+    if (Same)
+      Place->Phase = MemberPhase::Ready;
+    return;
+  case OrderKind::Leave:
+    if (Same) {
+      Place.reset();
+      To.OpenEnds = TimePoint{};
+    }
+    return;
+  case OrderKind::Stage:
+    To.Loading = Order.Model;
+    To.LoadEnds = Now + findModel(poolShape(), Order.Model)->Load;
+    return;
+  }
+}
+
+void GroupWorld::kill(const InstanceId &Id) {
+  Engine &Killed = Engines.at(Id);
+  if (Killed.Dead)
+    return;
+  Killed.Dead = true;
+  Killed.DiedAt = Now;
+}
+
+void GroupWorld::freezeListing(const InstanceId &Id) {
+  Frozen[Id] = Engines.at(Id).Actual;
+}
+
+void GroupWorld::drain(const InstanceId &Id) {
+  Engines.at(Id).Actual.Draining = true;
+}
+
+int GroupWorld::openGroups(const std::string &Model) const {
+  int Count = 0;
+  for (const auto &[Id, Each] : Engines) {
+    const std::optional<Membership> &Own = Each.Actual.Group;
+    if (!Each.Dead && Own && Own->Rank == 0 &&
+        Own->Phase == MemberPhase::Open && modelOfGroup(Own->Group) == Model)
+      ++Count;
+  }
+  return Count;
+}
+
+std::vector<InstanceId> GroupWorld::alive() const {
+  std::vector<InstanceId> Found;
+  for (const auto &[Id, Each] : Engines) {
+    if (!Each.Dead)
+      Found.push_back(Id);
+  }
+  return Found;
+}
+
+std::optional<InstanceId> GroupWorld::someMember(std::size_t Which) const {
+  std::vector<InstanceId> Members;
+  for (const auto &[Id, Each] : Engines) {
+    if (!Each.Dead && Each.Actual.Group)
+      Members.push_back(Id);
+  }
+  if (Members.empty())
+    return std::nullopt;
+  return Members[Which % Members.size()];
+}
+
+std::optional<InstanceId>
+GroupWorld::someFollower(const std::string &Model) const {
+  for (const auto &[Id, Each] : Engines) {
+    const std::optional<Membership> &Own = Each.Actual.Group;
+    if (!Each.Dead && Own && Own->Rank > 0 && modelOfGroup(Own->Group) == Model)
+      return Id;
+  }
+  return std::nullopt;
+}
+
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/PeerGossipTest.cpp
@@ -0,0 +1,74 @@
+#include "samphirehill/Serving/PeerGossip.h"
+
+#include <asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+EntryReport fullReport() {
+  EntryReport Report;
+  Report.Entry = EntryId("edge-1");
+  Report.Life = 12;
+  Report.Sequence = 34;
+  Report.Zone = ZoneId("north");
+  Report.ConfigurationVersion = 56;
+  Report.Loads[{InstanceId("i-1"), 100'001}] = {3, 4'000};
+  Report.Stalled = {{InstanceId("i-2"), 100'002}};
+  Report.BreakOffs = {{7, 8, TimePoint{seconds(9)}}};
+  Report.DutyTerm = 2;
+  Report.DutyRenewal = 5;
+  Report.Reached = {InstanceId("i-3")};
+  return Report;
+}
+
+TEST(PeerGossipTest, DecodesWhatItEncodes) {
+  TimePoint Now{seconds(10)};
+  EXPECT_EQ(decodeReport(encodeReport(fullReport(), Now), Now), fullReport());
+}
+
+TEST(PeerGossipTest, RefusesForeignBytes) {
+  EXPECT_FALSE(decodeReport("garbage", TimePoint{}));
+  EXPECT_FALSE(decodeReport("", TimePoint{}));
+}
+
+// Two entries on loopback; only the first knows the other from the store.
+TEST(PeerGossipTest, EntriesFindEachOtherFromOneSide) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  GossipSettings Fast;
+  Fast.Period = milliseconds(10);
+  std::map<std::string, int> Heard;
+  auto Make = [&](const std::string &Name) {
+    return std::make_unique<PeerGossip>(
+        Context, Timers, Fast,
+        [Name] {
+          EntryReport Report;
+          Report.Entry = EntryId(Name);
+          Report.Life = 1;
+          Report.Zone = ZoneId(Name);
+          Report.Loads[{InstanceId("i-1"), 1}] = {2, 100};
+          return Report;
+        },
+        [&Heard](const EntryReport &Report) { ++Heard[Report.Entry.str()]; });
+  };
+  auto First = Make("a");
+  auto Second = Make("b");
+  SocketAddress FirstAt{"127.0.0.1", 47'231};
+  SocketAddress SecondAt{"127.0.0.1", 47'232};
+  ASSERT_TRUE(First->listen(FirstAt));
+  ASSERT_TRUE(Second->listen(SecondAt));
+  First->addPeer(EntryId("b"), SecondAt);
+  TimePoint Deadline = Timers.now() + seconds(5);
+  while ((Heard["a"] < 2 || Heard["b"] < 2) && Timers.now() < Deadline)
+    Context.run_one_for(std::chrono::milliseconds(20));
+  EXPECT_GE(Heard["a"], 2);
+  EXPECT_GE(Heard["b"], 2);
+  UpstreamKey Key{InstanceId("i-1"), 1};
+  EXPECT_EQ(Second->loadElsewhere().at(Key), (UpstreamLoad{2, 100}));
+  EXPECT_TRUE(Second->zoneHeardSince(ZoneId("a")));
+  EXPECT_FALSE(Second->zoneHeardSince(ZoneId("elsewhere")));
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/RetryShareTest.cpp
@@ -0,0 +1,63 @@
+#include "samphirehill/Serving/RetryShare.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+const ServiceId Service("pool");
+
+// The load pattern: an outage makes each request of every entry fail, and each
+// entry repeats all that it may.
+RC_GTEST_PROP(RetryShareTest, SumOverEntriesStaysInBoundInAnyWindow, ()) {
+  int Entries = *rc::gen::inRange(1, 9);
+  RetryBounds Bounds{0.2, 134, seconds(10), Entries};
+  std::vector<RetryShare> Shares(static_cast<std::size_t>(Entries),
+                                 RetryShare{Bounds, {}});
+  std::vector<std::pair<TimePoint, bool>> Arrivals; // time, repeat
+  int Milliseconds = 0;
+  for (int Step = 0; Step < 400; ++Step) {
+    Milliseconds += *rc::gen::inRange(1, 120);
+    TimePoint Now{milliseconds(Milliseconds)};
+    RetryShare &Own = Shares[*rc::gen::inRange<std::size_t>(0, Shares.size())];
+    countRequest(Own, Service, Now);
+    Arrivals.push_back({Now, false});
+    if (takeRepeat(Own, Service, Now))
+      Arrivals.push_back({Now, true});
+  }
+  for (const auto &[Start, Ignored] : Arrivals) {
+    double Requests = 0;
+    double Repeats = 0;
+    for (const auto &[At, Repeat] : Arrivals) {
+      // Requests of the window before count where they are more.
+      if (At >= Start - Bounds.Window && At < Start + Bounds.Window)
+        Requests += Repeat ? 0 : 1;
+      if (At >= Start && At < Start + Bounds.Window)
+        Repeats += Repeat ? 1 : 0;
+    }
+    RC_ASSERT(Repeats <= Bounds.Ratio * Requests + Bounds.Slack);
+  }
+}
+
+TEST(RetryShareTest, GivesBackWhatWasNotSent) {
+  RetryShare Share{{0, 10, seconds(10), 1}, {}};
+  int Taken = 0;
+  while (takeRepeat(Share, Service, TimePoint{seconds(1)}))
+    ++Taken;
+  returnRepeat(Share, Service);
+  EXPECT_TRUE(takeRepeat(Share, Service, TimePoint{seconds(1)}));
+  EXPECT_FALSE(takeRepeat(Share, Service, TimePoint{seconds(1)}));
+  EXPECT_GT(Taken, 0);
+}
+
+TEST(RetryShareTest, RenewsAfterTheWindow) {
+  RetryShare Share{{0, 10, seconds(10), 1}, {}};
+  while (takeRepeat(Share, Service, TimePoint{seconds(1)})) {
+  }
+  EXPECT_FALSE(takeRepeat(Share, Service, TimePoint{seconds(10)}));
+  EXPECT_TRUE(takeRepeat(Share, Service, TimePoint{seconds(13)}));
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -0,0 +1,150 @@
+#include "samphirehill/Serving/UpstreamBook.h"
+#include "Serving/TestFleet.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+#include <random>
+
+namespace samphirehill::serving {
+namespace {
+
+const TimePoint Now{seconds(50)};
+
+UpstreamKey key(int Number) {
+  return {InstanceId("i" + std::to_string(Number)), 1};
+}
+
+class UpstreamBookTest : public testing::Test {
+protected:
+  UpstreamBookTest() {
+    for (int Number = 0; Number < 3; ++Number) {
+      Upstream Made;
+      Made.Key = key(Number);
+      Made.Service = PoolService;
+      Made.Model = "large";
+      Made.Zone = ZoneId(Number == 2 ? "south" : "north");
+      Made.Slots = 26;
+      Usable.push_back(Made);
+    }
+    updateUpstreams(Book, Usable);
+    Query.Service = PoolService;
+    Query.Model = "large";
+    Query.OwnZone = ZoneId("north");
+    Query.Engine = &*Shape.Engine;
+    Query.PromptTokens = 1'460;
+    Query.OutputTokens = 135;
+    Query.TimeLeft = seconds(8);
+  }
+
+  ServiceShape Shape = poolShape();
+  std::vector<Upstream> Usable;
+  UpstreamBook Book;
+  PlacementQuery Query;
+};
+
+// The load pattern: long prompts meet at one group while another runs more
+// requests that are being written.
+TEST_F(UpstreamBookTest, PrefersGroupWithFewerPromptsToRead) {
+  Book.Upstreams[key(0)].Own = {3, 6'000};
+  Book.Upstreams[key(1)].Own = {8, 0};
+  Book.Upstreams[key(2)].Own = {20, 0};
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(1));
+}
+
+TEST_F(UpstreamBookTest, PrefersOwnZoneAtEqualLoad) {
+  EXPECT_NE(place(Book, Query, Now).Chosen, key(2));
+}
+
+// The load pattern: answers of 335 tokens at a group that is so slow that none
+// of them ends before its deadline.
+TEST_F(UpstreamBookTest, KeepsLongAnswersFromSlowGroups) {
+  Book.Upstreams[key(0)].Slowness = 4;
+  Book.Upstreams[key(1)].Slowness = 4;
+  Book.Upstreams[key(2)].Own = {20, 2'000};
+  Query.OutputTokens = 335;
+  Query.TimeLeft = seconds(6);
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
+}
+
+TEST_F(UpstreamBookTest, CountsWhatOtherEntriesRun) {
+  setLoadElsewhere(Book, {{key(0), {26, 0}}, {key(1), {26, 0}}});
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
+  setLoadElsewhere(Book,
+                   {{key(0), {26, 0}}, {key(1), {26, 0}}, {key(2), {26, 0}}});
+  Placement Found = place(Book, Query, Now);
+  EXPECT_FALSE(Found.Chosen);
+  EXPECT_EQ(Found.Reason, NoPlace::Full);
+}
+
+TEST_F(UpstreamBookTest, TellsAbsentFromFull) {
+  Query.Model = "other";
+  EXPECT_EQ(place(Book, Query, Now).Reason, NoPlace::Absent);
+}
+
+TEST_F(UpstreamBookTest, SendsNothingToStalledGroups) {
+  for (int Number = 0; Number < 3; ++Number)
+    avoid(Book, key(Number), AvoidReason::Stalled, Now + seconds(1));
+  EXPECT_FALSE(place(Book, Query, Now).Chosen);
+  noteProgress(Book, key(1), Now);
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(1));
+}
+
+TEST_F(UpstreamBookTest, UsesUnreachableOnlyIfAllAre) {
+  avoid(Book, key(0), AvoidReason::Unreachable, Now + seconds(1));
+  avoid(Book, key(1), AvoidReason::Unreachable, Now + seconds(1));
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
+  avoid(Book, key(2), AvoidReason::Unreachable, Now + seconds(1));
+  EXPECT_TRUE(place(Book, Query, Now).Chosen);
+}
+
+// A cold upstream gets no more work than it can bear: the sum over all entries
+// stays below the operators' bound in any second.
+TEST_F(UpstreamBookTest, BoundsWorkOfColdUpstreamsOverAllEntries) {
+  constexpr int Entries = 8;
+  constexpr double PerSecond = 36;
+  for (Upstream &Each : Usable)
+    Each.ColdUntil = Now + seconds(10);
+  std::vector<UpstreamBook> Books(Entries);
+  for (UpstreamBook &Each : Books) {
+    Each.Limits.Entries = Entries;
+    updateUpstreams(Each, {Usable[0]});
+  }
+  Query.ColdPerSecond = PerSecond;
+  std::vector<TimePoint> Sent;
+  for (int Step = 0; Step < 3'000; ++Step) {
+    TimePoint At = Now + milliseconds(Step);
+    for (UpstreamBook &Each : Books) {
+      if (!place(Each, Query, At).Chosen)
+        continue;
+      noteSent(Each, key(0), Query, At);
+      noteEnded(Each, key(0), false);
+      Sent.push_back(At);
+    }
+  }
+  for (TimePoint Start : Sent) {
+    auto InSecond = std::count_if(Sent.begin(), Sent.end(), [&](TimePoint At) {
+      return At >= Start && At < Start + seconds(1);
+    });
+    EXPECT_LE(static_cast<double>(InSecond), PerSecond * 1.5 + 5);
+  }
+  EXPECT_GT(Sent.size(), 60u);
+}
+
+TEST_F(UpstreamBookTest, LearnsSlownessFromPauses) {
+  for (int Pause = 0; Pause < 100; ++Pause)
+    noteGap(Book, key(0), milliseconds(400), *Shape.Engine);
+  EXPECT_GT(Book.Upstreams[key(0)].Slowness, 5);
+  EXPECT_NE(place(Book, Query, Now).Chosen, key(0));
+}
+
+TEST_F(UpstreamBookTest, ForgetsUpstreamsThatAreGone) {
+  noteSent(Book, key(0), Query, Now);
+  updateUpstreams(Book, {Usable[1]});
+  EXPECT_EQ(Book.Upstreams.size(), 1u);
+  noteEnded(Book, key(0), true); // its end comes later
+  EXPECT_EQ(Book.Upstreams.size(), 1u);
+}
+
+} // namespace
+} // namespace samphirehill::serving
