Test request flows against scripted engines, and the adapter's decoding

Cases in tables: an engine that resets, closes, truncates, sends garbage, sends no seal or refuses, for requests that may run once and for those that may run again; streams that break, stall and resume; callers that leave; waiting and refusal.

--- /dev/null
+++ b/test/Platform/DecodeTest.cpp
@@ -0,0 +1,123 @@
+#include "Decode.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace samphirehill::platform {
+namespace {
+
+using nlohmann::json;
+
+json instanceEntry() {
+  return json::parse(R"({"backend":"pool","address":"10.128.0.9:8080",
+    "zone":"north","version":"v1","capacity_slots":26,"phase":"ready",
+    "cold_remaining_ms":1500,"domain":"north-d0","staged":["m"],"born":7,
+    "group":{"name":"m.3","epoch":3,"rank":1,"phase":"open"},"seq":4})");
+}
+
+TEST(DecodeTest, ReadsInstances) {
+  auto Read = decodeInstance("i-1", instanceEntry());
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read->Listed.Id, InstanceId("i-1"));
+  EXPECT_EQ(Read->Listed.Address, (SocketAddress{"10.128.0.9", 8080}));
+  EXPECT_EQ(Read->Listed.Group,
+            (serving::Membership{"m.3", 3, 1, serving::MemberPhase::Open}));
+  EXPECT_EQ(Read->Listed.Staged, std::vector<std::string>{"m"});
+  EXPECT_EQ(Read->ColdFor, milliseconds(1'500));
+  EXPECT_FALSE(Read->Listed.Draining);
+}
+
+// Entries of another writer name no engine to use.
+TEST(DecodeTest, PassesOverEntriesThatCannotBeUsed) {
+  struct Case {
+    const char *Field;
+    json Value;
+  };
+  const Case Cases[] = {{"phase", "resting"},     {"phase", 3},
+                        {"address", "nowhere"},   {"address", nullptr},
+                        {"capacity_slots", "26"}, {"backend", json::array()},
+                        {"zone", nullptr}};
+  for (const Case &Each : Cases) {
+    json Entry = instanceEntry();
+    Entry[Each.Field] = Each.Value;
+    EXPECT_FALSE(decodeInstance("i-1", Entry)) << Each.Field;
+  }
+  EXPECT_FALSE(decodeInstance("i-1", json("bytes")));
+  EXPECT_FALSE(decodeInstance("i-1", json::array()));
+}
+
+TEST(DecodeTest, ToldStateOfAnotherLifeIsRefused) {
+  serving::Instance Known = decodeInstance("i-1", instanceEntry())->Listed;
+  Outcome<serving::Instance> Same =
+      capture([&] { return decodeReport(Known, R"({"born":7,"pace":2.5})"); });
+  ASSERT_FALSE(errorOf(Same));
+  EXPECT_EQ(std::get<0>(Same).Pace, 2.5);
+  EXPECT_FALSE(std::get<0>(Same).Group);
+  Outcome<serving::Instance> Other =
+      capture([&] { return decodeReport(Known, R"({"born":8})"); });
+  ASSERT_TRUE(errorOf(Other));
+  EXPECT_EQ(errorOf(Other)->Code, ResultCode::NotFound);
+  Outcome<serving::Instance> Garbage =
+      capture([&] { return decodeReport(Known, "garbage"); });
+  EXPECT_EQ(errorOf(Garbage)->Code, ResultCode::BadAnswer);
+}
+
+TEST(DecodeTest, ReadsConfiguration) {
+  json Spec = json::parse(R"({"version":7,
+    "routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/",
+      "route_type":"stream","timeout_ms":8000,"target_latency_ms":500,
+      "priority_class":1,"max_attempts":2,"resumable":true,
+      "traffic_split":[{"backend":"pool","weight":90},
+                       {"backend":"app","weight":10}]}],
+    "backends":[{"name":"pool","health_path":"/h","max_connections":474,
+      "cold_per_s":36.0,"engine":{"capacity_slots":26,"stride":5,
+        "step_ms":6.07,"per_seq_ms":0.241,"read_per_s":46000.0,"chunk":2048,
+        "loads_per_s":4.0,"loads_at_once":6,"form_ms":300.0,
+        "models":[{"name":"m","size":4,"share":0.67,"pace":1.0,
+                   "load_s":16.0,"warm_s":1.6}]}}],
+    "limits":{"idle_timeout_ms":15000},
+    "tenants":[{"name":"org","api_keys":["k1","k2"],"priority_class":1}]})");
+  auto Read = capture([&] { return decodeConfiguration(Spec); });
+  ASSERT_FALSE(errorOf(Read));
+  const serving::Configuration &Config = std::get<0>(Read);
+  EXPECT_EQ(Config.Version, 7);
+  ASSERT_EQ(Config.Routes.size(), 1u);
+  EXPECT_EQ(Config.Routes[0].Kind, serving::RequestKind::Stream);
+  EXPECT_EQ(Config.Routes[0].Services.size(), 2u);
+  EXPECT_EQ(Config.Routes[0].Objective, milliseconds(500));
+  const auto &Engine = Config.Services.at(ServiceId("pool")).Engine;
+  ASSERT_TRUE(Engine);
+  EXPECT_EQ(Engine->Step, Duration(6'070));
+  EXPECT_EQ(Engine->Models[0].GroupSize, 4);
+  EXPECT_EQ(Engine->Models[0].Load, seconds(16));
+  EXPECT_EQ(Config.OrganisationByKey.at("k2").Id, OrganisationId("org"));
+  EXPECT_EQ(Config.OrganisationByKey.at("k2").Priority, 1);
+  EXPECT_EQ(Config.Limits.IdleTimeout, seconds(15));
+}
+
+TEST(DecodeTest, RefusesConfigurationItDoesNotUnderstand) {
+  EXPECT_TRUE(
+      errorOf(capture([] { return decodeConfiguration(json::object()); })));
+  json Unknown = json::parse(
+      R"({"version":1,"routes":[{"name":"r","route_type":"other"}]})");
+  EXPECT_TRUE(errorOf(capture([&] { return decodeConfiguration(Unknown); })));
+}
+
+TEST(DecodeTest, EncodesOrdersWithFence) {
+  serving::GroupOrder Join{
+      serving::OrderKind::Join,          InstanceId("a"), "m.3", 3, "m",
+      {InstanceId("a"), InstanceId("b")}};
+  EXPECT_EQ(json::parse(encodeOrder(Join, 9)),
+            json::parse(R"({"op":"join","group":"m.3","epoch":3,"model":"m",
+                            "members":["a","b"],"fencing_token":9})"));
+  serving::GroupOrder Stage{
+      serving::OrderKind::Stage, InstanceId("a"), {}, 0, "m", {}};
+  EXPECT_EQ(json::parse(encodeOrder(Stage, 9)),
+            json::parse(R"({"op":"stage","model":"m","fencing_token":9})"));
+  serving::GroupOrder Close{
+      serving::OrderKind::Close, InstanceId("a"), "m.3", 3, "m", {}};
+  EXPECT_EQ(json::parse(encodeOrder(Close, 9))["close_mode"], "wait");
+}
+
+} // namespace
+} // namespace samphirehill::platform
--- /dev/null
+++ b/test/Serving/Loopback.h
@@ -0,0 +1,118 @@
+// Serves HTTP on loopback for tests of the serving path: a scripted engine, and
+// a caller that reads raw bytes.
+#ifndef SAMPHIREHILL_TEST_SERVING_LOOPBACK_H
+#define SAMPHIREHILL_TEST_SERVING_LOOPBACK_H
+
+#include "samphirehill/Core/Time.h"
+#include "samphirehill/Net/TimerService.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace samphirehill::serving {
+
+// One connection of a ScriptedServer.
+class ScriptedConnection
+    : public std::enable_shared_from_this<ScriptedConnection> {
+public:
+  explicit ScriptedConnection(asio::ip::tcp::socket Socket)
+      : Socket(std::move(Socket)) {}
+
+  void send(const std::string &Bytes) {
+    std::error_code Failed;
+    asio::write(Socket, asio::buffer(Bytes), Failed);
+  }
+  void close() {
+    std::error_code Failed;
+    Socket.close(Failed);
+  }
+  // Ends the connection with a reset.
+  void reset() {
+    std::error_code Failed;
+    Socket.set_option(asio::socket_base::linger(true, 0), Failed);
+    close();
+  }
+
+  std::string Received; // since the last request that was handled
+  bool PeerClosed = false;
+
+private:
+  friend class ScriptedServer;
+  asio::ip::tcp::socket Socket;
+  std::array<char, 4'096> Buffer;
+};
+
+// Calls OnRequest each time a request head (with an empty or short body) has
+// come; Number counts them from 1.
+class ScriptedServer {
+public:
+  using Script = std::function<void(ScriptedConnection &, int Number)>;
+
+  ScriptedServer(asio::io_context &Context, Script OnRequest)
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        OnRequest(std::move(OnRequest)) {
+    accept();
+  }
+
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+  int requests() const { return Requests; }
+  const std::vector<std::shared_ptr<ScriptedConnection>> &connections() const {
+    return Open;
+  }
+  std::vector<std::string> Heads; // of all requests
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](std::error_code Failed,
+                                 asio::ip::tcp::socket Socket) {
+      if (Failed)
+        return;
+      Open.push_back(std::make_shared<ScriptedConnection>(std::move(Socket)));
+      read(Open.back());
+      accept();
+    });
+  }
+
+  void read(const std::shared_ptr<ScriptedConnection> &Connection) {
+    Connection->Socket.async_read_some(
+        asio::buffer(Connection->Buffer),
+        [this, Connection](std::error_code Failed, std::size_t Size) {
+          if (Failed) {
+            Connection->PeerClosed = true;
+            return;
+          }
+          Connection->Received.append(Connection->Buffer.data(), Size);
+          if (Connection->Received.find("\r\n\r\n") != std::string::npos) {
+            Heads.push_back(std::exchange(Connection->Received, {}));
+            OnRequest(*Connection, ++Requests);
+          }
+          if (Connection->Socket.is_open())
+            read(Connection);
+        });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  Script OnRequest;
+  std::vector<std::shared_ptr<ScriptedConnection>> Open;
+  int Requests = 0;
+};
+
+// Runs Context until Done or 5 s have passed; returns whether Done.
+inline bool runUntil(asio::io_context &Context,
+                     const std::function<bool()> &Done) {
+  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Done() && std::chrono::steady_clock::now() < Deadline)
+    Context.run_one_for(std::chrono::milliseconds(20));
+  return Done();
+}
+
+} // namespace samphirehill::serving
+
+#endif // SAMPHIREHILL_TEST_SERVING_LOOPBACK_H
--- /dev/null
+++ b/test/Serving/RequestFlowTest.cpp
@@ -0,0 +1,358 @@
+// The path of a request from a caller's socket to scripted engines and back.
+#include "samphirehill/Serving/RequestFlow.h"
+#include "Serving/Loopback.h"
+#include "Serving/TestFleet.h"
+
+#include <asio/read.hpp>
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+constexpr std::uint16_t CallersPort = 47'241;
+
+// A wire with short names, so that the flows are tested apart from any adapter.
+RequestWire testWire() {
+  RequestWire Wire;
+  Wire.ReadRequest = [](const HttpRequest &Request) {
+    RequestFacts Facts;
+    Facts.Id = *findHeader(Request.Headers, "id");
+    Facts.Host = "h";
+    Facts.Model = "large";
+    Facts.TimeLeft = seconds(3);
+    return Facts;
+  };
+  Wire.Forward = [](const HttpRequest &Original, const SendFacts &Facts) {
+    HttpRequest Sent = Original;
+    if (Facts.LastEventId)
+      Sent.Headers.push_back({"last", std::to_string(*Facts.LastEventId)});
+    return Sent;
+  };
+  Wire.ReadAnswer = [](const HttpResponse &Answer) {
+    AnswerFacts Facts;
+    const std::string *Id = findHeader(Answer.Headers, "id");
+    Facts.Id = Id ? *Id : "";
+    Facts.Sealed = findHeader(Answer.Headers, "seal") != nullptr;
+    Facts.NotRun = findHeader(Answer.Headers, "notrun") != nullptr;
+    return Facts;
+  };
+  Wire.OwnAnswer = [](int Status, const std::string &Id,
+                      std::optional<Duration> RetryAfter) {
+    HttpResponse Answer{Status, {{"id", Id}}, {}};
+    if (RetryAfter)
+      Answer.Headers.push_back({"retry", "yes"});
+    return Answer;
+  };
+  return Wire;
+}
+
+std::string answer(const std::string &Head, const std::string &Body) {
+  return "HTTP/1.1 " + Head +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+class RequestFlowTest : public testing::Test {
+protected:
+  RequestFlowTest()
+      : Timers(Context), Pool(Context, Timers),
+        Flows({Timers, Pool, Book, Retries, Crashes, Metrics, testWire()},
+              flowSettings()),
+        Callers(Context, Timers,
+                [this](std::shared_ptr<CallerRequest> Request) {
+                  Flows.accept(std::move(Request));
+                }),
+        Client(Context) {
+    Retries.Bounds = {0.2, 100, seconds(10), 1};
+    Config.Version = 1;
+    Config.Services = testConfiguration().Services;
+    addRoute("/safe/", RequestKind::Safe, PlainService, false);
+    addRoute("/unsafe/", RequestKind::Unsafe, PlainService, false);
+    addRoute("/stream/", RequestKind::Stream, PoolService, true);
+    EXPECT_TRUE(Callers.listen({"127.0.0.1", CallersPort}));
+    Client.connect({asio::ip::make_address("127.0.0.1"), CallersPort});
+  }
+
+  static FlowSettings flowSettings() {
+    FlowSettings Made;
+    Made.Zone = ZoneId("north");
+    Made.StallLimit = milliseconds(150);
+    Made.Wait.Longest = milliseconds(300);
+    return Made;
+  }
+
+  void addRoute(const std::string &Prefix, RequestKind Kind,
+                const ServiceId &Service, bool Resumable) {
+    Route Made;
+    Made.Name = Prefix;
+    Made.Host = "h";
+    Made.PathPrefix = Prefix;
+    Made.Kind = Kind;
+    Made.Resumable = Resumable;
+    Made.Anonymous = true;
+    Made.MaxAttempts = 2;
+    Made.Timeout = seconds(3);
+    Made.Services = {{Service, 1}};
+    Config.Routes.push_back(Made);
+  }
+
+  // Adds an engine that plays Script; the first added is chosen first.
+  ScriptedServer &addEngine(const ServiceId &Service,
+                            ScriptedServer::Script Script) {
+    Engines.push_back(
+        std::make_unique<ScriptedServer>(Context, std::move(Script)));
+    Upstream Made;
+    Made.Key = {InstanceId("i" + std::to_string(Engines.size())), 1};
+    Made.Service = Service;
+    Made.Model = Service == PoolService ? "large" : "";
+    Made.Address = {"127.0.0.1", Engines.back()->port()};
+    Made.Zone = ZoneId(Engines.size() == 1 ? "north" : "south");
+    Made.Slots = 4;
+    Usable.push_back(Made);
+    updateUpstreams(Book, Usable);
+    return *Engines.back();
+  }
+
+  void send(const std::string &Path) {
+    Flows.setConfiguration(std::make_shared<const Configuration>(Config));
+    std::string Bytes = "POST " + Path +
+                        "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
+                        "Content-Length: 0\r\n\r\n";
+    asio::write(Client, asio::buffer(Bytes));
+    readMore();
+  }
+
+  void readMore() {
+    Client.async_read_some(asio::buffer(Buffer),
+                           [this](std::error_code Failed, std::size_t Size) {
+                             if (Failed) {
+                               Closed = true;
+                               return;
+                             }
+                             Got.append(Buffer.data(), Size);
+                             readMore();
+                           });
+  }
+
+  bool awaitAnswer(const std::string &Part) {
+    return runUntil(
+               Context,
+               [&] { return Closed || Got.find(Part) != std::string::npos; }) &&
+           Got.find(Part) != std::string::npos;
+  }
+
+  asio::io_context Context;
+  TimerService Timers;
+  ExchangePool Pool;
+  UpstreamBook Book;
+  RetryShare Retries;
+  CrashRecord Crashes;
+  ServingMetrics Metrics;
+  Configuration Config;
+  RequestFlows Flows;
+  CallerServer Callers;
+  std::vector<std::unique_ptr<ScriptedServer>> Engines;
+  std::vector<Upstream> Usable;
+  asio::ip::tcp::socket Client;
+  std::array<char, 4'096> Buffer;
+  std::string Got;
+  bool Closed = false;
+};
+
+TEST_F(RequestFlowTest, PassesWholeAnswerOn) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s\r\nx: 1", "body"));
+  });
+  send("/safe/");
+  ASSERT_TRUE(awaitAnswer("body"));
+  EXPECT_NE(Got.find("200 OK"), std::string::npos);
+  EXPECT_NE(Got.find("seal: s"), std::string::npos);
+}
+
+// An answer to an earlier request may come where this one's is expected.
+TEST_F(RequestFlowTest, PassesOverAnswersToOtherRequests) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: other\r\nseal: s", "wrong"));
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "right"));
+  });
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer("right"));
+  EXPECT_EQ(Got.find("wrong"), std::string::npos);
+}
+
+struct FaultCase {
+  const char *Name;
+  ScriptedServer::Script Fault;
+  const char *Unsafe; // status that the caller of an unsafe request gets
+};
+
+class RequestFlowFaultTest : public RequestFlowTest,
+                             public testing::WithParamInterface<FaultCase> {};
+
+// A request that may run only once goes to one engine, unless the engine says
+// that it didn't run it; only then does the caller get a promise.
+TEST_P(RequestFlowFaultTest, RunsUnsafeRequestOnceAtMost) {
+  addEngine(PlainService, GetParam().Fault);
+  ScriptedServer &Second =
+      addEngine(PlainService, [](ScriptedConnection &To, int) {
+        To.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+      });
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer(GetParam().Unsafe));
+  bool Promised = std::string(GetParam().Unsafe) == "200 OK";
+  EXPECT_EQ(Second.requests(), Promised ? 1 : 0);
+}
+
+TEST_P(RequestFlowFaultTest, SendsSafeRequestAgain) {
+  addEngine(PlainService, GetParam().Fault);
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+  });
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("second"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, RequestFlowFaultTest,
+    testing::Values(
+        FaultCase{"Reset", [](ScriptedConnection &To, int) { To.reset(); },
+                  "502"},
+        FaultCase{"Closed", [](ScriptedConnection &To, int) { To.close(); },
+                  "502"},
+        FaultCase{"Truncated",
+                  [](ScriptedConnection &To, int) {
+                    To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n"
+                            "Content-Length: 50\r\n\r\npart");
+                    To.close();
+                  },
+                  "502"},
+        FaultCase{"Garbage",
+                  [](ScriptedConnection &To, int) { To.send("garbage\r\n"); },
+                  "502"},
+        FaultCase{"NoSeal",
+                  [](ScriptedConnection &To, int) {
+                    To.send(answer("200 OK\r\nid: r1", "forged"));
+                  },
+                  "502"},
+        FaultCase{"NotRun",
+                  [](ScriptedConnection &To, int) {
+                    To.send(answer("503 No\r\nid: r1\r\nnotrun: 1", ""));
+                  },
+                  "200 OK"}),
+    [](const auto &Each) { return Each.param.Name; });
+
+TEST_F(RequestFlowTest, DeliversAnEnginesFailureUnchanged) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("500 Failed\r\nid: r1\r\nseal: f", "why"));
+  });
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer("why"));
+  EXPECT_NE(Got.find(" 500 "), std::string::npos);
+  EXPECT_NE(Got.find("seal: f"), std::string::npos);
+}
+
+TEST_F(RequestFlowTest, KeepsToTheRoutesAttempts) {
+  auto Fail = [](ScriptedConnection &To, int) {
+    To.send(answer("500 Failed\r\nid: r1\r\nseal: f", "why"));
+  };
+  for (int Number = 0; Number < 4; ++Number)
+    addEngine(PlainService, Fail);
+  send("/safe/");
+  ASSERT_TRUE(awaitAnswer("why"));
+  int Runs = 0;
+  for (const auto &Each : Engines)
+    Runs += Each->requests();
+  EXPECT_EQ(Runs, 2);
+}
+
+TEST_F(RequestFlowTest, ResumesBrokenStreamAfterTheLastWholeEvent) {
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: one\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+    To.send(serializeChunk("id: 1\ndata: a\n\nid: 2\nda"));
+    To.reset();
+  });
+  ScriptedServer &Second =
+      addEngine(PoolService, [](ScriptedConnection &To, int) {
+        To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: two\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+        To.send(serializeChunk("id: 2\ndata: b\n\n") + std::string(LastChunk));
+      });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("0\r\n\r\n"));
+  EXPECT_NE(Second.Heads.at(0).find("last: 1"), std::string::npos);
+  EXPECT_NE(Got.find("seal: one"), std::string::npos);
+  EXPECT_EQ(Got.find("seal: two"), std::string::npos);
+  EXPECT_EQ(Got.find("data: a"), Got.rfind("data: a"));
+  EXPECT_NE(Got.find("id: 2\ndata: b\n\n"), std::string::npos);
+}
+
+// A stream that can't go on must not look complete.
+TEST_F(RequestFlowTest, BreaksOffStreamThatCannotBeResumed) {
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: one\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+    To.send(serializeChunk("id: 1\ndata: a\n\n"));
+    To.reset();
+  });
+  send("/stream/");
+  ASSERT_TRUE(runUntil(Context, [&] { return Closed; }));
+  EXPECT_EQ(Got.find("0\r\n\r\n"), std::string::npos);
+}
+
+// The load pattern: a member of a group dies; its head goes on accepting
+// requests and nothing moves.
+TEST_F(RequestFlowTest, MovesStreamAwayFromStalledGroup) {
+  ScriptedServer &Stalled =
+      addEngine(PoolService, [](ScriptedConnection &, int) {});
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+  });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("data: x"));
+  EXPECT_EQ(Stalled.requests(), 1);
+  EXPECT_TRUE(Stalled.connections().at(0)->PeerClosed || runUntil(Context, [&] {
+                return Stalled.connections().at(0)->PeerClosed;
+              }));
+}
+
+TEST_F(RequestFlowTest, EndsEnginesWorkWhenTheCallerLeaves) {
+  ScriptedServer &Engine =
+      addEngine(PoolService, [](ScriptedConnection &, int) {});
+  send("/stream/");
+  ASSERT_TRUE(runUntil(Context, [&] { return Engine.requests() == 1; }));
+  Client.close();
+  EXPECT_TRUE(runUntil(Context,
+                       [&] { return Engine.connections().at(0)->PeerClosed; }));
+  EXPECT_EQ(Flows.active(), 0u);
+}
+
+TEST_F(RequestFlowTest, RefusesWithTimeToComeBackWhenNoGroupComes) {
+  addEngine(PlainService, [](ScriptedConnection &, int) {});
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("retry: yes"));
+  EXPECT_NE(Got.find(" 503 "), std::string::npos);
+}
+
+TEST_F(RequestFlowTest, ServesWaitingRequestWhenAGroupOpens) {
+  addEngine(PlainService, [](ScriptedConnection &, int) {});
+  send("/stream/");
+  runUntil(Context, [&] { return Flows.active() == 1; });
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+  });
+  Flows.dispatchWaiting();
+  EXPECT_TRUE(awaitAnswer("data: x"));
+}
+
+TEST_F(RequestFlowTest, RefusesUnknownRouteAndKey) {
+  Config.Routes[0].Anonymous = false;
+  addEngine(PlainService, [](ScriptedConnection &, int) {});
+  send("/nowhere/");
+  EXPECT_TRUE(awaitAnswer(" 404 "));
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer(" 401 "));
+}
+
+} // namespace
+} // namespace samphirehill::serving
