--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -76,8 +76,7 @@
 Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
                             const EngineShape &Engine, double Pace) {
   double Tokens = static_cast<double>(Load.PendingTokens + PromptTokens);
-  double Passes =
-      std::ceil(Tokens / std::max<double>(Engine.TokensPerPass, 1.0));
+  double Passes = std::ceil(Tokens / static_cast<double>(Engine.TokensPerPass));
   double Seconds = Tokens / std::max(Engine.PromptTokensPerSecond, 1.0) +
                    std::max(Passes, 1.0) * writingSeconds(Load, Engine);
   return std::chrono::duration_cast<Duration>(
--- a/test/Serving/DutyLeaseTest.cpp
+++ b/test/Serving/DutyLeaseTest.cpp
@@ -1,9 +1,10 @@
 #include "samphirehill/Serving/DutyLease.h"
 
 #include <gtest/gtest.h>
-#include <map>
 #include <rapidcheck/gtest.h>
 
+#include <map>
+
 namespace samphirehill::serving {
 namespace {
 
--- a/test/Serving/FleetTest.cpp
+++ b/test/Serving/FleetTest.cpp
@@ -1,4 +1,5 @@
 #include "samphirehill/Serving/Fleet.h"
+
 #include "Serving/TestFleet.h"
 
 #include <gtest/gtest.h>
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -1,11 +1,13 @@
 #include "samphirehill/Serving/GroupPlan.h"
+
 #include "Serving/GroupWorld.h"
 #include "Serving/TestFleet.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 namespace samphirehill::serving {
 namespace {
 
@@ -118,6 +120,7 @@
 
 TEST(GroupPlanTest, StaysBelowTheLoadCeiling) {
   std::vector<PlannedInstance> Known;
+  Known.reserve(24);
   for (int Number = 0; Number < 24; ++Number)
     Known.push_back({engine("e" + std::to_string(Number), "north-d0")});
   GroupPlanState State;
--- a/test/Serving/PeerGossipTest.cpp
+++ b/test/Serving/PeerGossipTest.cpp
@@ -1,8 +1,9 @@
 #include "samphirehill/Serving/PeerGossip.h"
 
-#include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <asio/io_context.hpp>
+
 namespace samphirehill::serving {
 namespace {
 
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1,11 +1,13 @@
 // The path of a request from a caller's socket to scripted engines and back.
 #include "samphirehill/Serving/RequestFlow.h"
+
 #include "Serving/Loopback.h"
 #include "Serving/TestFleet.h"
 
-#include <asio/read.hpp>
 #include <gtest/gtest.h>
 
+#include <asio/read.hpp>
+
 namespace samphirehill::serving {
 namespace {
 
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -1,8 +1,10 @@
 #include "samphirehill/Serving/UpstreamBook.h"
+
 #include "Serving/TestFleet.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <numeric>
 #include <random>
 
