Keep requests back that would be read too late; answer attainable ones first

Load pattern: more long prompts come than the groups can read. Requests were sent until all slots were taken, so all were answered late. What can't be read within its objective now waits at the entry, requests that can still meet theirs go first, and the wait while groups are full is bounded by 0.9 s.

--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -53,6 +53,10 @@
   // Part of the time left that a whole answer may be expected to take; an
   // upstream that needs more ranks behind by what it needs.
   double AnswerPart = 0.75;
+  // Part of its objective within which a request's first event must be expected
+  // at an upstream where prompts wait. What would come later waits here, where
+  // the order can still be chosen.
+  double ObjectivePart = 0.7;
   // Mean time of a plain service's request, for ranking its instances.
   Duration PlainWork = milliseconds(40);
   // Share of a cold upstream's request rate that one entry may use; the sum
@@ -71,6 +75,7 @@
   std::int64_t PromptTokens = 0;
   std::int64_t OutputTokens = 0; // at most
   Duration TimeLeft{};
+  Duration Objective{};                // for the first event
   const EngineShape *Engine = nullptr; // null: a plain service
 };
 
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -17,7 +17,11 @@
   // waiting request makes those behind it later.
   double AbsentPart = 0.35;
   double FullPart = 0.25;
-  Duration Longest = seconds(3);
+  Duration LongestAbsent = seconds(3);
+  Duration LongestFull = milliseconds(900);
+  // Part of its objective by which a request must be sent to meet it; the rest
+  // is the time to its first event at a loaded upstream.
+  double StartPart = 0.6;
 };
 
 // Returns how long a request may wait for a place that Reason denies it.
@@ -32,14 +36,15 @@
 struct WaitingRequest {
   std::uint64_t Number = 0; // of arrival
   int Priority = 5;         // 0 is first
-  TimePoint ObjectiveAt{};  // when its first answer is due
+  TimePoint StartBy{};      // to be answered within its objective
 
   bool operator==(const WaitingRequest &) const = default;
 };
 
 // Returns the index of the request to serve next: by priority, and within one
-// priority first those that can still meet their objective, the earliest due
-// first. Waiting must not be empty.
+// priority first those that can still meet their objective. While more comes
+// than can be served, some are then answered in time; first come, first served
+// would answer all of them late. Waiting must not be empty.
 std::size_t nextToServe(const std::vector<WaitingRequest> &Waiting,
                         TimePoint Now);
 
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -91,7 +91,9 @@
   }
 
   WaitingRequest waiting() const {
-    return {Number, priority(), Caller->ReceivedAt + TheRoute->Objective};
+    auto Start = std::chrono::duration_cast<Duration>(
+        TheRoute->Objective * Owner.Settings.Wait.StartPart);
+    return {Number, priority(), Caller->ReceivedAt + Start};
   }
 
   void beginWaiting() {
@@ -172,6 +174,7 @@
       Query.PromptTokens = Facts.PromptTokens;
       Query.OutputTokens = Facts.OutputTokens;
       Query.TimeLeft = Deadline - now();
+      Query.Objective = TheRoute->Objective;
     }
     return Query;
   }
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -56,6 +56,17 @@
   return InTime ? First : First + Whole;
 }
 
+// Whether prompts wait at the upstream for longer than the objective allows.
+bool readsTooMuch(const UpstreamState &State, const PlacementQuery &Query,
+                  const PlacementLimits &Limits) {
+  UpstreamLoad Load = sum(State.Own, State.Elsewhere);
+  if (!Query.Engine || Load.PendingTokens == 0)
+    return false;
+  Duration First = expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine,
+                                      State.Known.Pace);
+  return toSeconds(First) > Limits.ObjectivePart * toSeconds(Query.Objective);
+}
+
 // Returns how late an answer is expected, in seconds.
 double score(const UpstreamState &State, const PlacementQuery &Query,
              const PlacementLimits &Limits) {
@@ -120,6 +131,8 @@
     if (State.Own.Running + State.Elsewhere.Running >=
         Known.Slots + Query.ExtraSlots)
       continue;
+    if (readsTooMuch(State, Query, Book.Limits))
+      continue;
     if (isCold(State, Query.ColdPerSecond, Now) &&
         coldTokens(State, Query.ColdPerSecond, Book.Limits.Entries, Now) < 1)
       continue;
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -19,7 +19,8 @@
                      Duration TimeLeft) {
   double Part = Reason == NoPlace::Absent ? Limits.AbsentPart : Limits.FullPart;
   auto Allowed = std::chrono::duration_cast<Duration>(TimeLeft * Part);
-  return std::min(Allowed, Limits.Longest);
+  return std::min(Allowed, Reason == NoPlace::Absent ? Limits.LongestAbsent
+                                                     : Limits.LongestFull);
 }
 
 Duration retryAfter(NoPlace Reason, Duration TimeLeft) {
@@ -32,7 +33,7 @@
 std::size_t nextToServe(const std::vector<WaitingRequest> &Waiting,
                         TimePoint Now) {
   auto Rank = [&](const WaitingRequest &Each) {
-    return std::tuple(Each.Priority, Each.ObjectiveAt < Now, Each.ObjectiveAt,
+    return std::tuple(Each.Priority, Each.StartBy < Now, Each.StartBy,
                       Each.Number);
   };
   auto First = std::min_element(
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -79,7 +79,7 @@
     FlowSettings Made;
     Made.Zone = ZoneId("north");
     Made.StallLimit = milliseconds(150);
-    Made.Wait.Longest = milliseconds(300);
+    Made.Wait.LongestAbsent = milliseconds(300);
     return Made;
   }
 
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -37,6 +37,7 @@
     Query.PromptTokens = 1'460;
     Query.OutputTokens = 135;
     Query.TimeLeft = seconds(8);
+    Query.Objective = milliseconds(500);
   }
 
   ServiceShape Shape = poolShape();
@@ -54,6 +55,18 @@
   EXPECT_EQ(place(Book, Query, Now).Chosen, key(1));
 }
 
+// The load pattern: a burst of prompts; what can't be read in time waits at the
+// entry, where requests that can still meet their objective go first.
+TEST_F(UpstreamBookTest, KeepsBackWhatWouldBeReadTooLate) {
+  for (int Number = 0; Number < 3; ++Number)
+    Book.Upstreams[key(Number)].Own = {6, 12'000};
+  Placement Found = place(Book, Query, Now);
+  EXPECT_FALSE(Found.Chosen);
+  EXPECT_EQ(Found.Reason, NoPlace::Full);
+  Book.Upstreams[key(2)].Own.PendingTokens = 0;
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
+}
+
 TEST_F(UpstreamBookTest, PrefersOwnZoneAtEqualLoad) {
   EXPECT_NE(place(Book, Query, Now).Chosen, key(2));
 }
