Spread the groups of a model over the zones

Load pattern: a zone is taken out of service, and with it most groups of one model, while the other zones keep those of the other. Each group now goes to the zone that has the fewest of its model.

Tried and reverted: a group of another model that makes room where three engines of a large group lie idle, with its engines loading while they serve.

--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -29,6 +29,7 @@
 };
 
 struct Domain {
+  ZoneId Zone;
   std::vector<const PlannedInstance *> Usable;
   std::vector<const PlannedInstance *> Free;
   std::map<std::string, DomainModel> Models;
@@ -319,6 +320,7 @@
       if (!usable(Each))
         continue;
       Domain &Own = Domains[Each.Listed.Domain];
+      Own.Zone = Each.Listed.Zone;
       Own.Usable.push_back(&Each);
       for (const std::string &Model : stagedOrLoading(Each))
         ++Own.Models[Model].Staged;
@@ -395,12 +397,21 @@
     return Targets;
   }
 
-  // Gives one more group of Model to the domain with the most room.
+  // Gives one more group of Model to the zone that has the fewest of them,
+  // there to the domain with the most room: a zone may go out of service.
   bool assignOne(const ModelShape &Model,
                  std::map<std::string, double> &Assigned) {
+    std::map<ZoneId, int> InZone;
+    for (const auto &[Name, Each] : Domains) {
+      auto Found = Each.Models.find(Model.Name);
+      if (Found != Each.Models.end())
+        InZone[Each.Zone] += Found->second.WantedGroups;
+    }
     Domain *Best = nullptr;
     for (auto &[Name, Each] : Domains) {
-      if (fits(Each, Model) && (!Best || Each.Room > Best->Room))
+      if (fits(Each, Model) &&
+          (!Best || std::pair(InZone[Each.Zone], -Each.Room) <
+                        std::pair(InZone[Best->Zone], -Best->Room)))
         Best = &Each;
     }
     if (!Best)
