End groups of an earlier holder at their head first; warm cold engines by few

Heads of groups of an earlier term are now ordered to leave first, under the new fence, and all engines of a domain are asked before a group without a known head is given up.

Only half the engine's rate of entries send to it now.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -67,9 +67,11 @@
   // until none has come for this long: what a domain should hold depends on its
   // size.
   Duration SettleTime = milliseconds(600);
-  // Members whose head is unknown are left alone for this long: above the
-  // three heartbeats after which the head's entry shows up again.
-  Duration HeadlessWait = seconds(4);
+  // Members whose head is unknown are left alone until all engines of their
+  // domain have told their state, or for this long: above the three heartbeats
+  // after which a head that is cut off is no longer listed, and the time after
+  // which most late orders have taken effect.
+  Duration HeadlessWait = seconds(8);
 };
 
 // A group whose members have been ordered to join.
@@ -90,6 +92,9 @@
 struct GroupPlanState {
   GroupPlanSettings Settings;
   std::int64_t NextEpoch = 1;
+  // Groups of earlier epochs were formed by another holder of the duty, whose
+  // orders may still take effect.
+  std::int64_t FirstEpoch = 0;
   std::map<std::int64_t, Formation> Forming; // by epoch
   std::map<InstanceId, WeightLoad> Loading;
   std::map<std::string, TimePoint> OrderedAt; // by order and instance
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -62,6 +62,10 @@
   // Share of a cold upstream's request rate that one entry may use; the sum
   // over all entries stays below the operators' bound.
   int Entries = 1;
+  // The other entries and this one. Where they are more than half the rate of a
+  // cold upstream, only so many of them, by rendezvous, send it anything.
+  std::vector<EntryId> Others;
+  EntryId Self;
 };
 
 struct PlacementQuery {
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -222,8 +222,8 @@
       continue;
     GroupPlanState &State = Plans[Id];
     State.Settings = Settings.Plan;
-    State.NextEpoch =
-        std::max(State.NextEpoch, Lease.Record.Term * EpochsPerTerm);
+    State.FirstEpoch = Lease.Record.Term * EpochsPerTerm;
+    State.NextEpoch = std::max(State.NextEpoch, State.FirstEpoch);
     for (const GroupOrder &Order :
          planGroups(State, planned(Id), Service, First, Now))
       give(Order);
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -151,7 +151,7 @@
       endGroup(Key, Group, *Head);
       return;
     }
-    if (headMayServeUnseen(Key, Head)) {
+    if (headMayServeUnseen(Key, Group, Head)) {
       for (const auto &[Rank, Each] : Group.ByRank)
         Bound.insert(Each->Listed.Id);
       return;
@@ -160,10 +160,12 @@
   }
 
   // Whether the group's head may be serving although the list doesn't say so.
-  bool headMayServeUnseen(const GroupKey &Key, const PlannedInstance *Head) {
+  bool headMayServeUnseen(const GroupKey &Key, const SeenGroup &Group,
+                          const PlannedInstance *Head) {
     if (FirstStart)
       return false;
     if (Head) {
+      State.HeadlessSince.erase(Key.second);
       State.HeadOf[Key.second] = Head->Listed.Id;
       if (Head->State != Liveness::Alive || Head->Confirmed)
         return Head->State == Liveness::Unclear;
@@ -180,19 +182,38 @@
       check(*Was);
       return true;
     }
+    return headUnknown(Key, Group);
+  }
+
+  // The head of a group that this entry has never seen is one of the engines of
+  // the members' domain, if it lives: all of them are asked.
+  bool headUnknown(const GroupKey &Key, const SeenGroup &Group) {
+    const std::string &Domain = Group.ByRank.begin()->second->Listed.Domain;
+    bool AllTold = true;
+    for (const PlannedInstance &Each : Engines) {
+      if (Each.Listed.Domain != Domain || Each.State == Liveness::Gone ||
+          Each.Confirmed)
+        continue;
+      AllTold = false;
+      if (Each.State == Liveness::Alive)
+        check(Each);
+    }
     TimePoint Since =
         State.HeadlessSince.try_emplace(Key.second, Now).first->second;
-    return Now - Since < State.Settings.HeadlessWait;
+    return !AllTold && Now - Since < State.Settings.HeadlessWait;
   }
 
   void check(const PlannedInstance &Asked) {
     Orders.push_back({OrderKind::Check, Asked.Listed.Id, {}, 0, {}, {}});
   }
 
-  // Whether Head serves or has been ordered to; the order may take effect late.
+  // Whether Head serves, or may have been ordered to; the order may take effect
+  // late.
   bool mayServe(const PlannedInstance &Head) const {
-    return serving(Head) || (Head.Listed.Group->Phase != MemberPhase::Broken &&
-                             State.OrderedAt.contains(openLabel(Head)));
+    if (Head.Listed.Group->Phase == MemberPhase::Broken)
+      return false;
+    return serving(Head) || Head.Listed.Group->Epoch < State.FirstEpoch ||
+           State.OrderedAt.contains(openLabel(Head));
   }
 
   static std::string openLabel(const PlannedInstance &Head) {
@@ -246,6 +267,7 @@
     Lost = Lost || !Model ||
            Group.ByRank.size() < static_cast<std::size_t>(Model->GroupSize);
     State.Forming.erase(Key.second);
+    State.HeadOf[Key.second] = Head.Listed.Id;
     bool OnlyZoneOut = std::all_of(
         Group.ByRank.begin(), Group.ByRank.end(), [](const auto &Each) {
           return Each.second->ZoneOut && !Each.second->Listed.Draining &&
@@ -255,8 +277,9 @@
       return;
     if (Head.Listed.Group->Phase == MemberPhase::Closing && !Lost)
       return;
-    OrderKind Kind = Lost ? OrderKind::Leave : OrderKind::Close;
-    if (due((Lost ? "leave " : "close ") + Head.Listed.Id.str() + Key.first))
+    bool Cut = Lost || !serving(Head);
+    OrderKind Kind = Cut ? OrderKind::Leave : OrderKind::Close;
+    if (due((Cut ? "leave " : "close ") + Head.Listed.Id.str() + Key.first))
       Orders.push_back(
           {Kind, Head.Listed.Id, Key.first, Key.second, Group.Model, {}});
   }
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -96,6 +96,7 @@
           Timers.wallNow().time_since_epoch().count())) {
   Retries.Bounds = retryBounds(Settings, EntriesBeforeKnown);
   Book.Limits.Entries = EntriesBeforeKnown;
+  Book.Limits.Self = Settings.Entry;
 }
 
 Result<std::unique_ptr<ServingEntry>>
@@ -327,6 +328,9 @@
   if (Entries > 1) {
     Retries.Bounds = retryBounds(Settings, Entries);
     Book.Limits.Entries = Entries;
+    Book.Limits.Others.clear();
+    for (const auto &[Entry, Peer] : Peers.peers())
+      Book.Limits.Others.push_back(Entry);
   }
   std::vector<InstanceId> Gone;
   for (const auto &[Id, Since] : Lapsed) {
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 
+#include "samphirehill/Core/Hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,10 +20,27 @@
 double coldTokens(const UpstreamState &State, double PerSecond, int Entries,
                   TimePoint Now) {
   double Elapsed = toSeconds(Now - State.ColdTokensAt);
-  double Earned = Elapsed * PerSecond / std::max(Entries, 1);
+  // Those that may send share the rate.
+  double Sharing = std::clamp(static_cast<double>(Entries), 1.0,
+                              std::max(PerSecond / 2, 1.0));
+  double Earned = Elapsed * PerSecond / 2 / Sharing;
   return std::min(ColdBurst, State.ColdTokens + std::max(Earned, 0.0));
 }
 
+// Whether this entry is one of those that may send to a cold upstream.
+bool mayWarm(const UpstreamKey &Key, const PlacementLimits &Limits,
+             double PerSecond) {
+  auto Allowed = static_cast<std::ptrdiff_t>(PerSecond / 2);
+  if (static_cast<std::ptrdiff_t>(Limits.Others.size()) < Allowed)
+    return true;
+  std::uint64_t Own = rendezvousWeight(Key.Instance.str(), Limits.Self.str());
+  auto Before = std::count_if(
+      Limits.Others.begin(), Limits.Others.end(), [&](const EntryId &Each) {
+        return rendezvousWeight(Key.Instance.str(), Each.str()) > Own;
+      });
+  return Before < Allowed;
+}
+
 bool isCold(const UpstreamState &State, double PerSecond, TimePoint Now) {
   return PerSecond > 0 && Now < State.Known.ColdUntil;
 }
@@ -134,7 +153,8 @@
     if (readsTooMuch(State, Query, Book.Limits))
       continue;
     if (isCold(State, Query.ColdPerSecond, Now) &&
-        coldTokens(State, Query.ColdPerSecond, Book.Limits.Entries, Now) < 1)
+        (!mayWarm(Key, Book.Limits, Query.ColdPerSecond) ||
+         coldTokens(State, Query.ColdPerSecond, Book.Limits.Entries, Now) < 1))
       continue;
     bool Avoided = Now < State.AvoidUntil;
     // A stalled group moves nothing; a request is better off elsewhere or
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -60,7 +60,6 @@
     Options = Chosen;
     Handlers = std::move(Given);
     Busy = true;
-    Answered = false;
     WriteDone = false;
     if (Connected)
       write();
@@ -260,7 +259,6 @@
   bool Connected = false;
   bool SentAny = false;
   bool WriteDone = false;
-  bool Answered = false;
   bool PeerKeeps = true;
   bool Ours = false;
 };
