Leave members of an unlisted head that refuses connections alone

A head that leaves stops listening and finishes its work, up to 10 s; it was taken for gone after 1.5 s like one that is silent. Now a refusal counts only after 11 s, or when another life answers at the address. Silence is still taken for an end after 1.5 s.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -47,6 +47,10 @@
   Duration ProbeRepeat = milliseconds(400);
   // An unlisted head is taken for gone after this, if nobody reaches it.
   Duration UnlistedWait = milliseconds(1'500);
+  // An unlisted head that refuses connections may be a process that finishes
+  // its work before it ends, which takes 10 s at most. Another life at its
+  // address ends the wait.
+  Duration RefusingWait = seconds(11);
   // What an instance tells itself counts as confirmed for this long.
   Duration ConfirmedMaxAge = milliseconds(1'000);
   // Entries of the head's zone must have been heard for this long before its
@@ -89,8 +93,9 @@
     TimePoint AskedAt{};
     TimePoint AnsweredAt{};
     bool Asking = false;
-    bool Silent = false; // the last question went unanswered
-    bool Ended = false;  // another life answered at its address
+    bool Silent = false;  // the last question went unanswered
+    bool Refused = false; // it was refused by the instance's machine
+    bool Ended = false;   // another life answered at its address
     // The last answer, unless an order has been given since it was asked for.
     std::optional<Instance> Told;
     TimePoint OrderedAt{};
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -21,8 +21,9 @@
 namespace samphirehill::serving {
 
 enum class ExchangeFailure {
-  NotSent, // no byte of the request left this process
-  Broken,  // the peer may have run it
+  NotSent,         // no byte of the request left this process
+  ConnectTimedOut, // neither, and the peer's machine said nothing
+  Broken,          // the peer may have run it
 };
 
 struct ExchangeHandlers {
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -163,7 +163,9 @@
   if (!Found->second.Silent)
     return Found->second.Asking ? Liveness::Unclear : Liveness::Alive;
   TimePoint Now = Timers.now();
-  if (Now - Held.Since < Settings.UnlistedWait ||
+  Duration Wait =
+      Found->second.Refused ? Settings.RefusingWait : Settings.UnlistedWait;
+  if (Now - Held.Since < Wait ||
       Now - Found->second.AskedAt > Settings.ConfirmedMaxAge ||
       !zoneInReach(Held.Last.Zone) || Peers.reachedElsewhere().contains(Id))
     return Liveness::Unclear;
@@ -328,6 +330,8 @@
                    Id.str(), Silent ? "silent" : "alive",
                    Silent ? errorOf(Answer)->Message : "answered");
     Asked.Silent = Silent;
+    Asked.Refused =
+        Silent && errorOf(Answer)->Code == ResultCode::ConnectFailed;
     Asked.Ended = Silent && errorOf(Answer)->Code == ResultCode::NotFound;
     if (!Silent) {
       Asked.AnsweredAt = Timers.now();
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -116,7 +116,7 @@
     ConnectTimer =
         Pool->Timers.after(Options.ConnectTimeout, [Weak = weak_from_this()] {
           if (std::shared_ptr<PooledConnection> Self = Weak.lock())
-            Self->fail("connect timed out");
+            Self->fail("connect timed out", ExchangeFailure::ConnectTimedOut);
         });
     Socket.async_connect(*Endpoint,
                          [Self = shared_from_this()](std::error_code Failed) {
@@ -230,7 +230,8 @@
     Kept.push_back(shared_from_this());
   }
 
-  void fail(const std::string &Cause) {
+  void fail(const std::string &Cause,
+            ExchangeFailure Unsent = ExchangeFailure::NotSent) {
     if (!Busy)
       return;
     std::shared_ptr<PooledConnection> Self = shared_from_this();
@@ -240,8 +241,7 @@
       ++Pool->Counters.ConnectFailures;
     close();
     if (Finished.OnFailure)
-      Finished.OnFailure(
-          SentAny ? ExchangeFailure::Broken : ExchangeFailure::NotSent, Cause);
+      Finished.OnFailure(SentAny ? ExchangeFailure::Broken : Unsent, Cause);
   }
 
   ExchangePool *Pool;
@@ -345,9 +345,12 @@
   Handlers.OnEnd = [State, Finish] { Finish(std::move(State->Answer)); };
   Handlers.OnFailure = [Finish](ExchangeFailure Kind,
                                 const std::string &Cause) {
-    Finish(Error{Kind == ExchangeFailure::NotSent ? ResultCode::ConnectFailed
-                                                  : ResultCode::UpstreamLost,
-                 Cause});
+    ResultCode Code = ResultCode::ConnectFailed;
+    if (Kind == ExchangeFailure::ConnectTimedOut)
+      Code = ResultCode::Timeout;
+    if (Kind == ExchangeFailure::Broken)
+      Code = ResultCode::UpstreamLost;
+    Finish(Error{Code, Cause});
   };
   ExchangeOptions Options;
   Options.ConnectTimeout = std::min(Limit, Options.ConnectTimeout);
