Wait for a head that this entry has never seen

Cause: an entry restarted while the store was away. When the store came back the entry of a living head had lapsed and was not listed yet; the new entry took the duty, asked all listed engines of the domain, found no head and joined a member to another group 0.6 s after the store's return. It is 8 s now in any case.

Ruled out: late orders, a refusal, a cut zone; none came before 27 s.

GroupPlanTest.WaitsForAHeadThatItHasNeverSeen fails on the code before and passes now.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -67,10 +67,10 @@
   // until none has come for this long: what a domain should hold depends on its
   // size.
   Duration SettleTime = milliseconds(600);
-  // Members whose head is unknown are left alone until all engines of their
-  // domain have told their state, or for this long: above the three heartbeats
-  // after which a head that is cut off is no longer listed, and the time after
-  // which most late orders have taken effect.
+  // Members whose head is unknown are left alone for this long, and up to twice
+  // as long until all engines of their domain have told their state. It is
+  // above the time in which the entry of a living head is back after an outage
+  // (2 s), and in which most late orders have taken effect.
   Duration HeadlessWait = seconds(8);
 };
 
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -186,7 +186,9 @@
   }
 
   // The head of a group that this entry has never seen is one of the engines of
-  // the members' domain, if it lives: all of them are asked.
+  // the members' domain, if it lives. Its entry in the list may have lapsed
+  // while the platform was away; the engines that are listed are asked
+  // meanwhile.
   bool headUnknown(const GroupKey &Key, const SeenGroup &Group) {
     const std::string &Domain = Group.ByRank.begin()->second->Listed.Domain;
     bool AllTold = true;
@@ -200,7 +202,9 @@
     }
     TimePoint Since =
         State.HeadlessSince.try_emplace(Key.second, Now).first->second;
-    return !AllTold && Now - Since < State.Settings.HeadlessWait;
+    Duration Waited = Now - Since;
+    Duration Wait = State.Settings.HeadlessWait;
+    return Waited < Wait || (!AllTold && Waited < 2 * Wait);
   }
 
   void check(const PlannedInstance &Asked) {
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -106,6 +106,25 @@
             2);
 }
 
+// Seen on the bench: an entry that started while the store was away; the head's
+// entry had lapsed and came back 2 s after the store.
+TEST(GroupPlanTest, WaitsForAHeadThatItHasNeverSeen) {
+  GroupPlanState State;
+  ServiceShape OneModel = poolShape();
+  OneModel.Engine->Models = {poolShape().Engine->Models[1]};
+  Instance Other = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  Instance Spare = engine("c", "north-d0");
+  Spare.Staged = {"small"};
+  std::vector<PlannedInstance> Known{{Other}, {Spare}};
+  Known[0].Confirmed = Known[1].Confirmed = true;
+  TimePoint Now{seconds(10)};
+  for (int Round = 0; Round < 20; ++Round, Now += Tick) {
+    for (const GroupOrder &Order :
+         planGroups(State, Known, OneModel, false, Now))
+      EXPECT_NE(Order.Kind, OrderKind::Join);
+  }
+}
+
 TEST(GroupPlanTest, EndsGroupGracefullyWhenAMemberDrains) {
   GroupPlanState State;
   Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
