--- a/test/Serving/Loopback.h
+++ b/test/Serving/Loopback.h
@@ -18,6 +18,14 @@
 
 namespace samphirehill::serving {
 
+// Returns a port of loopback that is free now; tests run in parallel.
+inline std::uint16_t freePort() {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Probe(Context,
+                                {asio::ip::make_address("127.0.0.1"), 0});
+  return Probe.local_endpoint().port();
+}
+
 // One connection of a ScriptedServer.
 class ScriptedConnection
     : public std::enable_shared_from_this<ScriptedConnection> {
--- a/test/Serving/PeerGossipTest.cpp
+++ b/test/Serving/PeerGossipTest.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/PeerGossip.h"
 
+#include "Serving/Loopback.h"
+
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
@@ -55,8 +57,8 @@
   };
   auto First = Make("a");
   auto Second = Make("b");
-  SocketAddress FirstAt{"127.0.0.1", 47'231};
-  SocketAddress SecondAt{"127.0.0.1", 47'232};
+  SocketAddress FirstAt{"127.0.0.1", freePort()};
+  SocketAddress SecondAt{"127.0.0.1", freePort()};
   ASSERT_TRUE(First->listen(FirstAt));
   ASSERT_TRUE(Second->listen(SecondAt));
   First->addPeer(EntryId("b"), SecondAt);
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -11,8 +11,6 @@
 namespace samphirehill::serving {
 namespace {
 
-constexpr std::uint16_t CallersPort = 47'241;
-
 // A wire with short names, so that the flows are tested apart from any adapter.
 RequestWire testWire() {
   RequestWire Wire;
@@ -143,6 +141,7 @@
            Got.find(Part) != std::string::npos;
   }
 
+  std::uint16_t CallersPort = freePort();
   asio::io_context Context;
   TimerService Timers;
   ExchangePool Pool;
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -121,6 +121,7 @@
   Query.ColdPerSecond = PerSecond;
   for (int Entries : {1, 8, 13, 14, 86}) {
     std::vector<EntryId> Names;
+    Names.reserve(static_cast<std::size_t>(Entries));
     for (int Number = 0; Number < Entries; ++Number)
       Names.emplace_back("edge-" + std::to_string(Number));
     std::vector<UpstreamBook> Books(Names.size());
