Fence a head that left before its members join another group

Cause, traced order by order in failing histories: 1. A head that had left took up its old group again by repeated joins and an open that took effect late; nothing refused them, as it had seen no newer fence. This happens across holders and within one term. 2. A new holder opened a group that late joins had made whole while its members had already been ordered into another group. Ruled out: the order of epochs alone (a join of the same epoch is accepted).

Change: each order carries a fence of its own, which a leave raises; members of a headless group are used only after the head has accepted a leave under it, or after the wait for unknown heads. A group with a member that is promised to another formation is not opened. A refused fence below our own newer order no longer gives up the duty.

Small: unused alias StalledGroups and a redundant condition are gone.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -23,10 +23,9 @@
 
 // Calls to instances; the adapter supplies them.
 struct InstanceCalls {
-  // Gives Order under Fence. The value tells whether it was accepted. Fails
-  // with StaleFence if the instance has seen a higher one.
+  // Gives Order. The value tells whether it was accepted. Fails with StaleFence
+  // if the instance has seen a higher fence.
   std::function<void(const Instance &To, const GroupOrder &Order,
-                     std::int64_t Fence,
                      std::function<void(Outcome<bool>)> Done)>
       Order;
   // Asks an instance for its state; returns To with what it reports. Fails with
@@ -99,6 +98,10 @@
     // The last answer, unless an order has been given since it was asked for.
     std::optional<Instance> Told;
     TimePoint OrderedAt{};
+    std::int64_t OrderedFence = 0; // highest
+    // The fence of the order that it last accepted, and its life then.
+    std::int64_t AcceptedFence = 0;
+    std::int64_t FencedLife = 0;
   };
   struct Unlisted {
     Instance Last;
@@ -114,6 +117,8 @@
   void give(const GroupOrder &Order);
   std::vector<PlannedInstance> planned(const ServiceId &Service) const;
   void confirm(const InstanceId &Id);
+  // Returns the fence of the last order that Listed accepted in this life.
+  std::int64_t acceptedFence(const Instance &Listed) const;
   bool zoneInReach(const ZoneId &Zone) const;
   Liveness livenessOf(const InstanceId &Id) const;
   Liveness livenessOfUnlisted(const InstanceId &Id, const Unlisted &Held) const;
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -32,6 +32,9 @@
   // The instance itself has just told its state. Its entry in the list may be
   // older than it looks: entries can arrive late and out of order.
   bool Confirmed = false;
+  // The highest fence of an order that it is known to have accepted. It refuses
+  // orders of lower ones, however late they come.
+  std::int64_t AcceptedFence = 0;
 };
 
 enum class OrderKind {
@@ -51,6 +54,7 @@
   std::int64_t Epoch = 0;
   std::string Model;
   std::vector<InstanceId> Members; // Join; the first is the head
+  std::int64_t Fence = 0;          // 0: no order
 
   bool operator==(const GroupOrder &) const = default;
 };
@@ -95,7 +99,11 @@
   // Groups of earlier epochs were formed by another holder of the duty, whose
   // orders may still take effect.
   std::int64_t FirstEpoch = 0;
-  std::map<std::int64_t, Formation> Forming; // by epoch
+  // Of the orders, at least FirstEpoch. A leave raises it, so that what was
+  // ordered before is refused after it.
+  std::int64_t Fence = 0;
+  std::map<InstanceId, std::int64_t> OrderedFence; // highest before a leave
+  std::map<std::int64_t, Formation> Forming;       // by epoch
   std::map<InstanceId, WeightLoad> Loading;
   std::map<std::string, TimePoint> OrderedAt; // by order and instance
   std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last seen
@@ -105,9 +113,6 @@
   std::vector<TimePoint> LoadStarts; // of the last second
 };
 
-// Groups whose entries see no progress although requests run there.
-using StalledGroups = std::vector<UpstreamKey>;
-
 // Returns the orders to give now for the engines of Service. FirstStart tells
 // that nothing has been served yet: groups then load as they join.
 std::vector<GroupOrder> planGroups(GroupPlanState &State,
--- a/lib/Serving/DutyLease.cpp
+++ b/lib/Serving/DutyLease.cpp
@@ -69,7 +69,7 @@
     return begin(Lease, write(Lease, Renewed), Now);
   }
   bool Silent = Now - Lease.HolderHeardAt >= Settings.Silence;
-  if (!Lease.Known || Lease.CallRunning) {
+  if (!Lease.Known) {
     if (Now - Lease.LastCallAt < Settings.ReadEvery &&
         Lease.LastCallAt != TimePoint{})
       return {};
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -189,6 +189,7 @@
     PlannedInstance Each{Record.Listed, livenessOf(Id),
                          Instances.ZonesOut.contains(Record.Listed.Zone),
                          Now < Record.ColdUntil};
+    Each.AcceptedFence = acceptedFence(Record.Listed);
     auto Found = Probes.find(Id);
     if (Found != Probes.end() && Found->second.Told && !Found->second.Silent &&
         Found->second.AnsweredAt >= Record.ChangedAt &&
@@ -205,11 +206,19 @@
     PlannedInstance Unlisted{Held.Last, livenessOfUnlisted(Id, Held), false,
                              false};
     Unlisted.Listed.Draining = true; // takes part in no further group
+    Unlisted.AcceptedFence = acceptedFence(Held.Last);
     Known.push_back(std::move(Unlisted));
   }
   return Known;
 }
 
+std::int64_t GroupController::acceptedFence(const Instance &Listed) const {
+  auto Found = Probes.find(Listed.Id);
+  bool SameLife = Found != Probes.end() &&
+                  Found->second.FencedLife == Listed.BornMilliseconds;
+  return SameLife ? Found->second.AcceptedFence : 0;
+}
+
 void GroupController::plan() {
   TimePoint Now = Timers.now();
   std::erase_if(Missing, [&](const auto &Entry) {
@@ -249,13 +258,18 @@
                Order.Model, Lease.Record.Term);
   Probe &Known = Probes[Order.To];
   Known.OrderedAt = Timers.now();
+  Known.OrderedFence = std::max(Known.OrderedFence, Order.Fence);
   Known.Told.reset();
   std::int64_t Term = Lease.Record.Term;
+  std::int64_t Life = To.BornMilliseconds;
   Calls.Order(
-      To, Order, Term, [this, Order, Term](const Outcome<bool> &Answer) {
+      To, Order, [this, Order, Term, Life](const Outcome<bool> &Answer) {
         const Error *Failed = errorOf(Answer);
-        if (!Failed && std::get<0>(Answer))
+        if (!Failed && std::get<0>(Answer)) {
+          Probes[Order.To].AcceptedFence = Order.Fence;
+          Probes[Order.To].FencedLife = Life;
           return;
+        }
         spdlog::warn("event=order_not_taken kind={} instance={} epoch={} "
                      "reason=\"{}\"",
                      toString(Order.Kind), Order.To.str(), Order.Epoch,
@@ -263,8 +277,11 @@
                             : "does not fit the instance's state");
         if (!Failed)
           return;
-        if (Failed->Code == ResultCode::StaleFence && Lease.Record.Term == Term)
-          Lease.HeldUntil = TimePoint{}; // another entry holds the duty
+        // A refused fence above all that were ordered here is another holder's.
+        if (Failed->Code == ResultCode::StaleFence &&
+            Lease.Record.Term == Term &&
+            Order.Fence >= Probes[Order.To].OrderedFence)
+          Lease.HeldUntil = TimePoint{};
         if (Failed->Code != ResultCode::StaleFence) {
           auto To = Instances.Instances.find(Order.To);
           if (To != Instances.Instances.end())
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -46,8 +46,10 @@
         Service(Service), FirstStart(FirstStart), Now(Now) {}
 
   std::vector<GroupOrder> run() {
+    State.Fence = std::max(State.Fence, State.FirstEpoch);
     forgetOld();
     collectGroups();
+    forgetHeadless();
     collectDomains();
     planQuotas();
     if (FirstStart && settling())
@@ -97,11 +99,36 @@
     std::erase_if(State.OrderedAt, [&](const auto &Entry) {
       return Now - Entry.second > OrderMemory;
     });
+  }
+
+  // A group that no engine names any more needs no wait.
+  void forgetHeadless() {
+    std::set<std::int64_t> Named;
+    for (const auto &[Key, Group] : Groups)
+      Named.insert(Key.second);
     std::erase_if(State.HeadlessSince, [&](const auto &Entry) {
-      return Now - Entry.second > OrderMemory;
+      return !Named.contains(Entry.first);
     });
   }
 
+  void order(GroupOrder Given) {
+    std::int64_t &Highest = State.OrderedFence[Given.To];
+    if (Given.Kind == OrderKind::Leave)
+      ++State.Fence;
+    else
+      Highest = State.Fence;
+    Given.Fence = State.Fence;
+    Orders.push_back(std::move(Given));
+  }
+
+  // Whether Engine refuses all that it was ordered before its last leave.
+  bool fenced(const PlannedInstance &Engine) const {
+    auto Found = State.OrderedFence.find(Engine.Listed.Id);
+    std::int64_t Ordered =
+        Found == State.OrderedFence.end() ? 0 : Found->second;
+    return Engine.AcceptedFence >= std::max(State.FirstEpoch, Ordered + 1);
+  }
+
   // Whether an order may be given: not given within the repeat time.
   bool due(const std::string &Label) {
     auto Found = State.OrderedAt.find(Label);
@@ -143,7 +170,8 @@
         Group.ByRank.size() == static_cast<std::size_t>(Model->GroupSize) &&
         std::all_of(Group.ByRank.begin(), Group.ByRank.end(),
                     [](const auto &Each) { return usable(*Each.second); });
-    if (Whole && settleWhole(Key, Group, *Head))
+    if (Whole && !promisedElsewhere(Key, Group) &&
+        settleWhole(Key, Group, *Head))
       return;
     if (Forming && (!Head || !mayServe(*Head)))
       return;
@@ -159,6 +187,21 @@
     State.Forming.erase(Key.second);
   }
 
+  // Whether a member has been ordered into another group that forms: a group of
+  // late orders must not open under it.
+  bool promisedElsewhere(const GroupKey &Key, const SeenGroup &Group) const {
+    for (const auto &[Epoch, Forming] : State.Forming) {
+      if (Epoch == Key.second)
+        continue;
+      for (const auto &[Rank, Each] : Group.ByRank) {
+        if (std::find(Forming.Members.begin(), Forming.Members.end(),
+                      Each->Listed.Id) != Forming.Members.end())
+          return true;
+      }
+    }
+    return false;
+  }
+
   // Whether the group's head may be serving although the list doesn't say so.
   bool headMayServeUnseen(const GroupKey &Key, const SeenGroup &Group,
                           const PlannedInstance *Head) {
@@ -178,13 +221,29 @@
       if (!Was || Was->State == Liveness::Gone)
         return false;
       if (Was->State == Liveness::Alive && Was->Confirmed)
-        return false; // it tells of another group, or of none
+        return mayReturn(Key, Group, *Was);
       check(*Was);
       return true;
     }
     return headUnknown(Key, Group);
   }
 
+  // Whether Was, which has left the group, may still take it up again by late
+  // orders. A leave that it is known to have accepted ends that.
+  bool mayReturn(const GroupKey &Key, const SeenGroup &Group,
+                 const PlannedInstance &Was) {
+    if (fenced(Was))
+      return false;
+    TimePoint Since =
+        State.HeadlessSince.try_emplace(Key.second, Now).first->second;
+    if (Now - Since >= State.Settings.HeadlessWait)
+      return false;
+    if (due("leave " + Was.Listed.Id.str() + Key.first))
+      order({OrderKind::Leave, Was.Listed.Id, Key.first, Key.second,
+             Group.Model});
+    return true;
+  }
+
   // The head of a group that this entry has never seen is one of the engines of
   // the members' domain, if it lives. Its entry in the list may have lapsed
   // while the platform was away; the engines that are listed are asked
@@ -208,7 +267,7 @@
   }
 
   void check(const PlannedInstance &Asked) {
-    Orders.push_back({OrderKind::Check, Asked.Listed.Id, {}, 0, {}, {}});
+    Orders.push_back({OrderKind::Check, Asked.Listed.Id, {}, 0, {}, {}, 0});
   }
 
   // Whether Head serves, or may have been ordered to; the order may take effect
@@ -250,12 +309,8 @@
     if (serving(Head))
       State.Forming.erase(Key.second);
     if (AllReady && due(openLabel(Head)))
-      Orders.push_back({OrderKind::Open,
-                        Head.Listed.Id,
-                        Key.first,
-                        Key.second,
-                        Group.Model,
-                        {}});
+      order({OrderKind::Open, Head.Listed.Id, Key.first, Key.second,
+             Group.Model});
     return true;
   }
 
@@ -284,8 +339,7 @@
     bool Cut = Lost || !serving(Head);
     OrderKind Kind = Cut ? OrderKind::Leave : OrderKind::Close;
     if (due((Cut ? "leave " : "close ") + Head.Listed.Id.str() + Key.first))
-      Orders.push_back(
-          {Kind, Head.Listed.Id, Key.first, Key.second, Group.Model, {}});
+      order({Kind, Head.Listed.Id, Key.first, Key.second, Group.Model});
   }
 
   void countGroup(const PlannedInstance &Head, const std::string &Model) {
@@ -310,7 +364,7 @@
       Any = true;
       if (!inGroup(Each, Forming) && usable(Each) &&
           due("join " + Each.Listed.Id.str() + Forming.Group))
-        Orders.push_back(joinOrder(Forming, Each.Listed.Id));
+        order(joinOrder(Forming, Each.Listed.Id));
     }
     bool Counted =
         Groups.contains({Forming.Group, Forming.Epoch}) && allIn(Forming);
@@ -339,7 +393,7 @@
 
   static GroupOrder joinOrder(const Formation &Forming, const InstanceId &To) {
     return {OrderKind::Join, To, Forming.Group, Forming.Epoch, Forming.Model,
-            Forming.Members};
+            Forming.Members, 0};
   }
 
   void collectDomains() {
@@ -612,7 +666,7 @@
     Made.GiveUpAt = Now + Expected + State.Settings.FormationMargin;
     for (const InstanceId &Id : Made.Members) {
       due("join " + Id.str() + Made.Group);
-      Orders.push_back(joinOrder(Made, Id));
+      order(joinOrder(Made, Id));
       Bound.insert(Id);
     }
     for (auto &[Name, Each] : Domains)
@@ -651,8 +705,7 @@
         --Own.Models[Old].Staged;
       ++Own.Models[Model->Name].Staged;
       noteLoad(Each->Listed.Id, *Model);
-      Orders.push_back(
-          {OrderKind::Stage, Each->Listed.Id, {}, 0, Model->Name, {}});
+      order({OrderKind::Stage, Each->Listed.Id, {}, 0, Model->Name});
     }
   }
 
--- a/test/Platform/DecodeTest.cpp
+++ b/test/Platform/DecodeTest.cpp
@@ -104,19 +104,23 @@
 }
 
 TEST(DecodeTest, EncodesOrdersWithFence) {
-  serving::GroupOrder Join{
-      serving::OrderKind::Join,          InstanceId("a"), "m.3", 3, "m",
-      {InstanceId("a"), InstanceId("b")}};
-  EXPECT_EQ(json::parse(encodeOrder(Join, 9)),
+  serving::GroupOrder Join{serving::OrderKind::Join,
+                           InstanceId("a"),
+                           "m.3",
+                           3,
+                           "m",
+                           {InstanceId("a"), InstanceId("b")},
+                           9};
+  EXPECT_EQ(json::parse(encodeOrder(Join)),
             json::parse(R"({"op":"join","group":"m.3","epoch":3,"model":"m",
                             "members":["a","b"],"fencing_token":9})"));
   serving::GroupOrder Stage{
-      serving::OrderKind::Stage, InstanceId("a"), {}, 0, "m", {}};
-  EXPECT_EQ(json::parse(encodeOrder(Stage, 9)),
+      serving::OrderKind::Stage, InstanceId("a"), {}, 0, "m", {}, 9};
+  EXPECT_EQ(json::parse(encodeOrder(Stage)),
             json::parse(R"({"op":"stage","model":"m","fencing_token":9})"));
   serving::GroupOrder Close{
-      serving::OrderKind::Close, InstanceId("a"), "m.3", 3, "m", {}};
-  EXPECT_EQ(json::parse(encodeOrder(Close, 9))["close_mode"], "wait");
+      serving::OrderKind::Close, InstanceId("a"), "m.3", 3, "m", {}, 9};
+  EXPECT_EQ(json::parse(encodeOrder(Close))["close_mode"], "wait");
 }
 
 } // namespace
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -42,7 +42,7 @@
                      auto Done) { Done(Object); };
     bool Joined = false;
     InstanceCalls Calls;
-    Calls.Order = [&](const Instance &, const GroupOrder &Order, std::int64_t,
+    Calls.Order = [&](const Instance &, const GroupOrder &Order,
                       const std::function<void(Outcome<bool>)> &Done) {
       Joined = Joined || Order.Kind == OrderKind::Join;
       Done(true);
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -125,6 +125,59 @@
   }
 }
 
+// A head that left may join and open again by late orders of an earlier holder,
+// until it has accepted an order of this one.
+TEST(GroupPlanTest, FencesAHeadThatLeftBeforeItsMembersAreUsed) {
+  GroupPlanState State;
+  State.NextEpoch = State.FirstEpoch = 100'000;
+  ServiceShape OneModel = poolShape();
+  OneModel.Engine->Models = {poolShape().Engine->Models[1]};
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  Instance Other = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  std::vector<PlannedInstance> Known{{Head}, {Other}};
+  for (PlannedInstance &Each : Known)
+    Each.Confirmed = true;
+  TimePoint Now{seconds(10)};
+  Known[1].Listed.Draining = true; // the group is closed
+  planGroups(State, Known, OneModel, false, Now);
+  Known[1].Listed.Draining = false;
+  Known[0].Listed.Group.reset(); // its head has left
+  Now += Tick;
+  std::vector<GroupOrder> Orders =
+      planGroups(State, Known, OneModel, false, Now);
+  ASSERT_FALSE(Orders.empty());
+  EXPECT_EQ(Orders[0].Kind, OrderKind::Leave);
+  EXPECT_EQ(Orders[0].To, InstanceId("a"));
+  EXPECT_GT(Orders[0].Fence, State.FirstEpoch);
+  for (const GroupOrder &Each : Orders)
+    EXPECT_FALSE(Each.Kind == OrderKind::Join && Each.To == InstanceId("b"));
+  Known[0].AcceptedFence = Orders[0].Fence;
+  Now += Tick;
+  Orders = planGroups(State, Known, OneModel, false, Now);
+  EXPECT_TRUE(
+      std::any_of(Orders.begin(), Orders.end(), [](const GroupOrder &Each) {
+        return Each.Kind == OrderKind::Join && Each.To == InstanceId("b");
+      }));
+}
+
+// Late joins of an earlier holder make a group whole whose members have been
+// ordered into another one since.
+TEST(GroupPlanTest, DoesNotOpenAGroupWhoseMembersJoinAnother) {
+  GroupPlanState State;
+  State.NextEpoch = State.FirstEpoch = 100'000;
+  State.Forming[100'001] = {"small.100001",
+                            100'001,
+                            "small",
+                            {InstanceId("a"), InstanceId("b")},
+                            TimePoint{seconds(20)}};
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Ready);
+  Instance Other = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  for (const GroupOrder &Each :
+       planGroups(State, {{Head}, {Other}}, poolShape(), false,
+                  TimePoint{seconds(10)}))
+    EXPECT_NE(Each.Kind, OrderKind::Open);
+}
+
 TEST(GroupPlanTest, EndsGroupGracefullyWhenAMemberDrains) {
   GroupPlanState State;
   Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -40,6 +40,7 @@
     } else if (Each.Dead && Now - Each.DiedAt > ProbeNotices) {
       Seen.State = Liveness::Unclear;
     }
+    Seen.AcceptedFence = Each.AnsweredFence;
     Known.push_back(std::move(Seen));
   }
   return Known;
@@ -50,9 +51,9 @@
        planGroups(State, planned(), poolShape(), FirstStart, Now)) {
     ++Orders;
     if (OrderDelay > Duration::zero() && Order.Kind != OrderKind::Check)
-      Pending.push_back({Now + OrderDelay, Order, State.FirstEpoch});
-    else
-      carryOut(Order, State.FirstEpoch);
+      Pending.push_back({Now + OrderDelay, Order});
+    else if (carryOut(Order))
+      Engines.at(Order.To).AnsweredFence = Order.Fence;
   }
 }
 
@@ -66,7 +67,7 @@
     return true;
   });
   for (const Late &Each : Due)
-    carryOut(Each.Order, Each.Fence);
+    carryOut(Each.Order);
   for (auto &[Id, Each] : Engines) {
     if (Each.Dead)
       continue;
@@ -127,26 +128,27 @@
   To.JoinEnds = Now + Takes;
 }
 
-void GroupWorld::carryOut(const GroupOrder &Order, std::int64_t Fence) {
+bool GroupWorld::carryOut(const GroupOrder &Order) {
   Engine &To = Engines.at(Order.To);
   if (To.Dead)
-    return;
+    return false;
   if (Order.Kind != OrderKind::Check) {
-    if (Fence < To.HighestFence)
-      return;
-    To.HighestFence = Fence;
+    if (Order.Fence < To.HighestFence)
+      return false;
+    To.HighestFence = Order.Fence;
   }
   std::optional<Membership> &Place = To.Actual.Group;
   bool Same = Place && Place->Epoch == Order.Epoch;
   switch (Order.Kind) {
   case OrderKind::Check:
     To.ConfirmedAt = Now;
-    return;
+    return false;
   case OrderKind::Join:
-    return join(To, Order);
+    join(To, Order);
+    return true;
   case OrderKind::Open: {
     if (!Same || Place->Phase != MemberPhase::Ready)
-      return;
+      return false;
     int Ready = 0;
     for (const auto &[Id, Each] : Engines) {
       const std::optional<Membership> &Own = Each.Actual.Group;
@@ -158,23 +160,24 @@
       Broken.push_back("PARTIAL: " + Order.Group + " opened with " +
                        std::to_string(Ready));
     To.OpenEnds = Now + milliseconds(300);
-    return;
+    return true;
   }
   case OrderKind::Close:
     if (Same)
       Place->Phase = MemberPhase::Ready;
-    return;
+    return true;
   case OrderKind::Leave:
     if (Same) {
       Place.reset();
       To.OpenEnds = TimePoint{};
     }
-    return;
+    return true;
   case OrderKind::Stage:
     To.Loading = Order.Model;
     To.LoadEnds = Now + findModel(poolShape(), Order.Model)->Load;
-    return;
+    return true;
   }
+  return false;
 }
 
 void GroupWorld::kill(const InstanceId &Id) {
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -16,9 +16,8 @@
 public:
   GroupWorld(int Domains, int EnginesPerDomain);
 
-  // Plans with State and carries out its orders, under its first epoch as
-  // fence. Engines refuse a fence below one that they have seen. Orders in
-  // LateShare of the cases take effect only Late after they were given.
+  // Plans with State and carries out its orders. Engines refuse a fence below
+  // one that they have seen.
   void plan(GroupPlanState &State, bool FirstStart = false);
   // Lets time pass: joins and loads end.
   void advance(Duration Elapsed);
@@ -59,15 +58,16 @@
     TimePoint ConfirmedAt{};
     std::int64_t HighestEpoch = 0;
     std::int64_t HighestFence = 0;
+    std::int64_t AnsweredFence = 0; // of an order whose answer came
   };
   struct Late {
     TimePoint At{};
     GroupOrder Order;
-    std::int64_t Fence = 0;
   };
 
   std::vector<PlannedInstance> planned();
-  void carryOut(const GroupOrder &Order, std::int64_t Fence);
+  // Returns whether the engine accepted the order.
+  bool carryOut(const GroupOrder &Order);
   void join(Engine &To, const GroupOrder &Order);
   const Engine *headOf(const Membership &Place) const;
 
