Relay the entries' loads by zone where there are many

Cause: every entry told every other one, at most 50 datagrams a second each, so 86 entries heard each other every 1.8 s, above the age at which loads count.

Change: above 12 entries each tells two relays of its zone, chosen by rendezvous; a relay sums up its zone, tells the relays of other zones, and passes all sums on. A receiver takes its own part out by sequence. Relays that are silent are passed over within a second; nobody is elected.

Ruled out: more datagrams (86 entries at 5 a second are 37,000 a second), the engines' own reports (200 ms old and priced as probes).

--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -307,8 +307,7 @@
         State.Avoid != AvoidReason::None)
       Stalled.insert(Key);
   }
-  for (const auto &[Entry, Peer] : Peers.peers())
-    Stalled.insert(Peer.Last.Stalled.begin(), Peer.Last.Stalled.end());
+  Stalled.merge(Peers.stalledElsewhere());
   bool Holds = holds();
   for (const auto &[Id, Record] : Instances.Instances) {
     const std::optional<Membership> &Place = Record.Listed.Group;
--- /dev/null
+++ b/lib/Serving/PeerTable.cpp
@@ -0,0 +1,310 @@
+#include "samphirehill/Serving/PeerTable.h"
+
+#include "samphirehill/Core/Hash.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace samphirehill::serving {
+namespace {
+
+// Own states whose sequence a summary may still name: two seconds of them.
+constexpr std::size_t ToldMemory = 10;
+
+bool relayed(const PeerTable &Table) {
+  return Table.Peers.size() >= Table.Settings.MostDirect;
+}
+
+bool fresh(TimePoint HeardAt, const PeerTable &Table, TimePoint Now) {
+  return HeardAt != TimePoint{} && Now - HeardAt <= Table.Settings.LoadMaxAge;
+}
+
+// Whether Entry, of Zone, fails as a relay: it doesn't answer this entry, or
+// its summaries have ceased.
+bool silent(const EntryId &Entry, const PeerEntry &Peer, const PeerTable &Table,
+            TimePoint Now) {
+  Duration Limit = Table.Settings.RelaySilence;
+  if (Peer.AwaitedSince != TimePoint{} && Now - Peer.AwaitedSince > Limit)
+    return true;
+  auto Zone = Table.Summaries.find(Peer.Zone);
+  if (Zone == Table.Summaries.end())
+    return false;
+  auto Summary = Zone->second.find(Entry);
+  if (Summary == Zone->second.end())
+    return false;
+  Duration Ceased = Now - Summary->second.HeardAt;
+  return Ceased > Limit && Ceased < Table.Settings.SummaryMemory;
+}
+
+// Returns the relays of Zone, this entry among them where it is one: the first
+// by rendezvous, and as many that are not silent.
+std::vector<EntryId> relaysOf(const PeerTable &Table, const ZoneId &Zone,
+                              TimePoint Now) {
+  std::vector<std::pair<std::uint64_t, EntryId>> Ranked;
+  auto Add = [&](const EntryId &Entry) {
+    Ranked.emplace_back(rendezvousWeight(Zone.str(), Entry.str()), Entry);
+  };
+  if (Zone == Table.Zone)
+    Add(Table.Self);
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (Peer.Zone == Zone)
+      Add(Entry);
+  }
+  std::sort(Ranked.begin(), Ranked.end(), std::greater<>());
+  std::vector<EntryId> Relays;
+  std::size_t Answering = 0;
+  for (const auto &[Weight, Entry] : Ranked) {
+    bool Answers = Entry == Table.Self ||
+                   !silent(Entry, Table.Peers.at(Entry), Table, Now);
+    if (Relays.size() < Table.Settings.RelaysPerZone || Answers)
+      Relays.push_back(Entry);
+    Answering += Answers;
+    if (Answering >= Table.Settings.RelaysPerZone)
+      break;
+  }
+  return Relays;
+}
+
+// Notes that Entry is told as a relay and should be heard.
+void await(PeerTable &Table, const EntryId &Entry, TimePoint Now) {
+  PeerEntry &Peer = Table.Peers.at(Entry);
+  if (Peer.AwaitedSince == TimePoint{} &&
+      Now - Peer.HeardAt > Table.Settings.Period * 2)
+    Peer.AwaitedSince = Now;
+}
+
+bool newer(const EntryReport &Report, const EntryReport &Known) {
+  return Report.Life > Known.Life ||
+         (Report.Life == Known.Life && Report.Sequence > Known.Sequence);
+}
+
+// Returns the summary of Zone that sums up most entries, or null.
+const SummaryEntry *bestSummary(const PeerTable &Table, const ZoneId &Zone,
+                                TimePoint Now) {
+  auto Found = Table.Summaries.find(Zone);
+  if (Found == Table.Summaries.end())
+    return nullptr;
+  const SummaryEntry *Best = nullptr;
+  for (const auto &[Relay, Each] : Found->second) {
+    if (!fresh(Each.HeardAt, Table, Now))
+      continue;
+    if (!Best || std::pair(Each.Last.Included.size(), Each.HeardAt) >
+                     std::pair(Best->Last.Included.size(), Best->HeardAt))
+      Best = &Each;
+  }
+  return Best;
+}
+
+// Returns the entries of the own zone that report to this one.
+std::vector<EntryId> followers(const PeerTable &Table, TimePoint Now) {
+  std::vector<EntryId> Found;
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (Peer.Zone == Table.Zone && fresh(Peer.HeardAt, Table, Now))
+      Found.push_back(Entry);
+  }
+  return Found;
+}
+
+void noteHeard(TimePoint &HeardAt, TimePoint &HeardSince,
+               const PeerTable &Table, TimePoint Now) {
+  if (Now - HeardAt > Table.Settings.LoadMaxAge)
+    HeardSince = Now;
+  HeardAt = Now;
+}
+
+// Sums up the own zone from what its entries told this one.
+const EntryReport &sumUp(PeerTable &Table, const EntryReport &Own,
+                         const std::vector<EntryId> &Followers, TimePoint Now) {
+  SummaryEntry &Made = Table.Summaries[Table.Zone][Table.Self];
+  EntryReport Sum;
+  Sum.Entry = Table.Self;
+  Sum.Zone = Table.Zone;
+  Sum.Life = Own.Life;
+  Sum.Sequence = Own.Sequence;
+  include(Sum, Own);
+  for (const EntryId &Each : Followers)
+    include(Sum, Table.Peers.at(Each).Last);
+  noteHeard(Made.HeardAt, Made.HeardSince, Table, Now);
+  Made.Last = std::move(Sum);
+  return Made.Last;
+}
+
+std::vector<PlannedMessage> planDirect(const PeerTable &Table,
+                                       const EntryReport &Own) {
+  PlannedMessage All{{}, {Own, {}}};
+  for (const auto &[Entry, Peer] : Table.Peers)
+    All.To.push_back(Entry);
+  return {std::move(All)};
+}
+
+// What a relay tells: all zones' summaries to the own zone's entries, the own
+// zone's summary to the relays of the others.
+void planRelaying(PeerTable &Table, const EntryReport &Own,
+                  const std::vector<EntryId> &Followers, TimePoint Now,
+                  std::vector<PlannedMessage> &Plan) {
+  EntryReport Sum = sumUp(Table, Own, Followers, Now);
+  std::set<ZoneId> Zones;
+  std::set<EntryId> Relays;
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (Peer.Zone == Table.Zone)
+      continue;
+    Zones.insert(Peer.Zone);
+    if (fresh(Peer.RelayedAt, Table, Now))
+      Relays.insert(Entry);
+  }
+  PlannedMessage Inside{Followers, {Own, {Sum}}};
+  for (const ZoneId &Zone : Zones) {
+    if (const SummaryEntry *Known = bestSummary(Table, Zone, Now))
+      Inside.Message.Summaries.push_back(Known->Last);
+    for (const EntryId &Each : relaysOf(Table, Zone, Now)) {
+      await(Table, Each, Now);
+      Relays.insert(Each);
+    }
+  }
+  Plan.push_back(std::move(Inside));
+  Plan.push_back({{Relays.begin(), Relays.end()}, {Own, {std::move(Sum)}}});
+}
+
+} // namespace
+
+std::vector<PlannedMessage>
+planMessages(PeerTable &Table, const EntryReport &Own, TimePoint Now) {
+  if (!relayed(Table))
+    return planDirect(Table, Own);
+  Table.Sent.push_back({Own.Sequence, Own.Loads});
+  if (Table.Sent.size() > ToldMemory)
+    Table.Sent.pop_front();
+  std::vector<PlannedMessage> Plan;
+  std::vector<EntryId> Followers = followers(Table, Now);
+  std::vector<EntryId> Relays = relaysOf(Table, Table.Zone, Now);
+  bool Relay =
+      std::find(Relays.begin(), Relays.end(), Table.Self) != Relays.end();
+  if (Relay && !Followers.empty())
+    planRelaying(Table, Own, Followers, Now, Plan);
+  PlannedMessage Up{{}, {Own, {}}};
+  for (const EntryId &Each : Relays) {
+    if (Each == Table.Self)
+      continue;
+    await(Table, Each, Now);
+    bool Told = Relay && std::find(Followers.begin(), Followers.end(), Each) !=
+                             Followers.end();
+    if (!Told)
+      Up.To.push_back(Each);
+  }
+  Plan.push_back(std::move(Up));
+  return Plan;
+}
+
+std::vector<EntryReport> takeMessage(PeerTable &Table,
+                                     const EntryMessage &Message,
+                                     const SocketAddress &Sender,
+                                     TimePoint Now) {
+  std::vector<EntryReport> News;
+  PeerEntry &Peer = Table.Peers[Message.Own.Entry];
+  if (Peer.HeardAt != TimePoint{} && !newer(Message.Own, Peer.Last))
+    return News;
+  Peer.Address = Sender;
+  Peer.Zone = Message.Own.Zone;
+  Peer.AwaitedSince = TimePoint{};
+  noteHeard(Peer.HeardAt, Peer.HeardSince, Table, Now);
+  Peer.Last = Message.Own;
+  News.push_back(Message.Own);
+  if (!Message.Summaries.empty())
+    Peer.RelayedAt = Now;
+  for (const EntryReport &Each : Message.Summaries) {
+    if (Each.Entry == Table.Self)
+      continue;
+    SummaryEntry &Known = Table.Summaries[Each.Zone][Each.Entry];
+    if (Known.HeardAt != TimePoint{} && !newer(Each, Known.Last))
+      continue;
+    noteHeard(Known.HeardAt, Known.HeardSince, Table, Now);
+    Known.Last = Each;
+    News.push_back(Each);
+  }
+  return News;
+}
+
+std::map<UpstreamKey, UpstreamLoad> loadElsewhere(const PeerTable &Table,
+                                                  TimePoint Now) {
+  EntryReport Sum;
+  if (!relayed(Table)) {
+    for (const auto &[Entry, Peer] : Table.Peers) {
+      if (fresh(Peer.HeardAt, Table, Now))
+        include(Sum, Peer.Last);
+    }
+    return Sum.Loads;
+  }
+  for (const auto &[Zone, Relays] : Table.Summaries) {
+    if (const SummaryEntry *Known = bestSummary(Table, Zone, Now))
+      include(Sum, Known->Last);
+  }
+  const SummaryEntry *Own = bestSummary(Table, Table.Zone, Now);
+  if (!Own)
+    return Sum.Loads;
+  auto Counted = Own->Last.Included.find(Table.Self);
+  if (Counted == Own->Last.Included.end())
+    return Sum.Loads;
+  for (const PeerTable::Told &Each : Table.Sent) {
+    if (Each.Sequence != Counted->second)
+      continue;
+    for (const auto &[Key, Load] : Each.Loads) {
+      UpstreamLoad &Left = Sum.Loads[Key];
+      Left.Running = std::max(Left.Running - Load.Running, 0);
+      Left.PendingTokens =
+          std::max<std::int64_t>(Left.PendingTokens - Load.PendingTokens, 0);
+    }
+  }
+  return Sum.Loads;
+}
+
+std::optional<TimePoint> zoneHeardSince(const PeerTable &Table,
+                                        const ZoneId &Zone, TimePoint Now) {
+  std::optional<TimePoint> Since;
+  auto Add = [&](TimePoint HeardAt, TimePoint HeardSince) {
+    if (fresh(HeardAt, Table, Now))
+      Since = Since ? std::min(*Since, HeardSince) : HeardSince;
+  };
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (Peer.Zone == Zone)
+      Add(Peer.HeardAt, Peer.HeardSince);
+  }
+  auto Found = Table.Summaries.find(Zone);
+  if (Found != Table.Summaries.end()) {
+    for (const auto &[Relay, Each] : Found->second)
+      Add(Each.HeardAt, Each.HeardSince);
+  }
+  return Since;
+}
+
+std::set<InstanceId> reachedElsewhere(const PeerTable &Table, TimePoint Now) {
+  std::set<InstanceId> All;
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (fresh(Peer.HeardAt, Table, Now))
+      All.insert(Peer.Last.Reached.begin(), Peer.Last.Reached.end());
+  }
+  for (const auto &[Zone, Relays] : Table.Summaries) {
+    for (const auto &[Relay, Each] : Relays) {
+      if (fresh(Each.HeardAt, Table, Now))
+        All.insert(Each.Last.Reached.begin(), Each.Last.Reached.end());
+    }
+  }
+  return All;
+}
+
+std::set<UpstreamKey> stalledElsewhere(const PeerTable &Table, TimePoint Now) {
+  std::set<UpstreamKey> All;
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (fresh(Peer.HeardAt, Table, Now))
+      All.insert(Peer.Last.Stalled.begin(), Peer.Last.Stalled.end());
+  }
+  for (const auto &[Zone, Relays] : Table.Summaries) {
+    for (const auto &[Relay, Each] : Relays) {
+      if (fresh(Each.HeardAt, Table, Now))
+        All.insert(Each.Last.Stalled.begin(), Each.Last.Stalled.end());
+    }
+  }
+  return All;
+}
+
+} // namespace samphirehill::serving
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -34,16 +34,23 @@
       .dump();
 }
 
-std::optional<SocketAddress> decodeEntry(const std::string &Value) {
+struct KnownEntry {
+  ZoneId Zone;
+  SocketAddress Peers;
+};
+
+std::optional<KnownEntry> decodeEntry(const std::string &Value) {
   nlohmann::json Read = nlohmann::json::parse(Value, nullptr, false);
   if (!Read.is_object() || !Read.contains("peers") ||
-      !Read["peers"].is_string())
+      !Read["peers"].is_string() || !Read.contains("zone") ||
+      !Read["zone"].is_string())
     return std::nullopt;
   Outcome<SocketAddress> Address = capture(
       [&] { return parseSocketAddress(Read["peers"].get<std::string>()); });
   if (errorOf(Address))
     return std::nullopt;
-  return std::get<0>(Address);
+  return KnownEntry{ZoneId(Read["zone"].get<std::string>()),
+                    std::get<0>(Address)};
 }
 
 RetryBounds retryBounds(const ServingSettings &Settings, int Entries) {
@@ -88,7 +95,8 @@
                       answerMetrics(Request);
                     }),
       Peers(
-          Context, Timers, GossipSettings{}, [this] { return report(); },
+          Context, Timers, Settings.Entry, Settings.Zone, PeerSettings{},
+          [this] { return report(); },
           [this](const EntryReport &Report) { heard(Report); }),
       Groups(Timers, Instances, Book, Peers, Metrics, this->Supplied.Store,
              this->Supplied.Calls, groupSettings(Settings)),
@@ -158,8 +166,8 @@
             Current = Each.Value == encodeEntry(Settings);
             continue;
           }
-          if (std::optional<SocketAddress> Address = decodeEntry(Each.Value))
-            Peers.addPeer(EntryId(Each.Name), *Address);
+          if (std::optional<KnownEntry> Known = decodeEntry(Each.Value))
+            Peers.addPeer(EntryId(Each.Name), Known->Zone, Known->Peers);
         }
         spdlog::info("event=peers_listed entries={}", Peers.peers().size() + 1);
         if (!Current)
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -10,8 +10,9 @@
 // A group that lost a member is whole again within about this: detection, a
 // warm start and opening.
 constexpr Duration RepairTime = milliseconds(2'500);
-// While all places are taken, one frees about this often.
-constexpr Duration PlaceTurnover = milliseconds(700);
+// While all places are taken, more requests come than can be served, for
+// seconds.
+constexpr Duration OverloadSpell = milliseconds(1'600);
 constexpr double LatestReturnPart = 0.3; // of the time a caller has left
 // Memory of a PlaceRate: a few turnovers of a group's places.
 constexpr double RateMemorySeconds = 1.0;
@@ -38,7 +39,7 @@
 }
 
 Duration retryAfter(NoPlace Reason, Duration TimeLeft) {
-  Duration Wanted = Reason == NoPlace::Absent ? RepairTime : PlaceTurnover;
+  Duration Wanted = Reason == NoPlace::Absent ? RepairTime : OverloadSpell;
   auto Latest =
       std::chrono::duration_cast<Duration>(TimeLeft * LatestReturnPart);
   return std::max(std::min(Wanted, Latest), milliseconds(50));
