--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/GroupPlan.h"
 
+#include "samphirehill/Serving/GroupQuota.h"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -21,23 +23,6 @@
 
 using GroupKey = std::pair<std::string, std::int64_t>;
 
-struct DomainModel {
-  int Groups = 0;       // serving or forming
-  int WantedGroups = 0; // with those that serve
-  int Staged = 0;       // engines with the weights, or loading them
-  int WantedStaged = 0;
-};
-
-struct Domain {
-  ZoneId Zone;
-  std::vector<const PlannedInstance *> Usable;
-  std::vector<const PlannedInstance *> Free;
-  std::map<std::string, DomainModel> Models;
-  int InGroups = 0; // usable engines that serve or form
-  int Room = 0;     // engines beyond the groups that it is to have
-  int Spares = 0;   // engines that no second group of a model may take
-};
-
 class Planner {
 public:
   Planner(GroupPlanState &State, const std::vector<PlannedInstance> &Engines,
@@ -51,7 +36,7 @@
     collectGroups();
     forgetHeadless();
     collectDomains();
-    planQuotas();
+    planQuotas(Domains, Service, GroupedEngines, State.Settings.SparePart);
     if (FirstStart && settling())
       return {};
     for (auto &[Name, Each] : Domains)
@@ -400,7 +385,7 @@
     for (const PlannedInstance &Each : Engines) {
       if (!usable(Each))
         continue;
-      Domain &Own = Domains[Each.Listed.Domain];
+      EngineDomain &Own = Domains[Each.Listed.Domain];
       Own.Zone = Each.Listed.Zone;
       Own.Usable.push_back(&Each);
       for (const std::string &Model : stagedOrLoading(Each))
@@ -428,163 +413,14 @@
     return State.Loading.contains(Each.Listed.Id);
   }
 
-  // Gives the domains whole groups by the models' shares over all domains: one
-  // group at a time, of the model that has the fewest engines for its share, in
-  // the domain with the most room.
-  void planQuotas() {
-    std::map<std::string, double> Assigned = GroupedEngines;
-    for (auto &[Name, Each] : Domains) {
-      auto Engines = static_cast<int>(Each.Usable.size());
-      Each.Spares = static_cast<int>(Engines * State.Settings.SparePart);
-      Each.Room = Engines - Each.InGroups;
-      for (const ModelShape &Model : Shape.Models) {
-        DomainModel &Own = Each.Models[Model.Name];
-        Own.WantedGroups = Own.Groups;
-      }
-    }
-    std::map<std::string, int> Targets = groupTargets(Assigned);
-    for (const ModelShape *Model : bySize()) {
-      while (Targets[Model->Name]-- > 0 && assignOne(*Model, Assigned)) {
-      }
-    }
-    // What is left over, where the domains are too small for the targets.
-    for (const ModelShape *Model : byNeed(Assigned)) {
-      while (assignOne(*Model, Assigned)) {
-      }
-    }
-    planSpares();
-  }
-
-  // Returns the groups to add by model, as if all engines were of one domain.
-  std::map<std::string, int>
-  groupTargets(std::map<std::string, double> Assigned) const {
-    int Room = 0;
-    for (const auto &[Name, Each] : Domains)
-      Room += Each.Room - Each.Spares;
-    std::map<std::string, int> Targets;
-    bool Added = true;
-    while (Added) {
-      Added = false;
-      for (const ModelShape *Model : byNeed(Assigned)) {
-        if (Model->GroupSize > Room)
-          continue;
-        Room -= Model->GroupSize;
-        Assigned[Model->Name] += Model->GroupSize;
-        ++Targets[Model->Name];
-        Added = true;
-        break;
-      }
-    }
-    return Targets;
-  }
-
-  // Gives one more group of Model to the zone that has the fewest of them,
-  // there to the domain with the most room: a zone may go out of service.
-  bool assignOne(const ModelShape &Model,
-                 std::map<std::string, double> &Assigned) {
-    std::map<ZoneId, int> InZone;
-    for (const auto &[Name, Each] : Domains) {
-      auto Found = Each.Models.find(Model.Name);
-      if (Found != Each.Models.end())
-        InZone[Each.Zone] += Found->second.WantedGroups;
-    }
-    Domain *Best = nullptr;
-    for (auto &[Name, Each] : Domains) {
-      if (fits(Each, Model) &&
-          (!Best || std::pair(InZone[Each.Zone], -Each.Room) <
-                        std::pair(InZone[Best->Zone], -Best->Room)))
-        Best = &Each;
-    }
-    if (!Best)
-      return false;
-    ++Best->Models[Model.Name].WantedGroups;
-    Best->Room -= Model.GroupSize;
-    Assigned[Model.Name] += Model.GroupSize;
-    return true;
-  }
-
-  // Returns the models, the largest groups first: they are the hardest to
-  // place.
-  std::vector<const ModelShape *> bySize() const {
-    std::vector<const ModelShape *> Order;
-    for (const ModelShape &Model : Shape.Models)
-      Order.push_back(&Model);
-    std::stable_sort(Order.begin(), Order.end(),
-                     [](const auto *A, const auto *B) {
-                       return A->GroupSize > B->GroupSize;
-                     });
-    return Order;
-  }
-
-  // Spares are kept free, but not at the price of a model's only group in the
-  // domain.
-  static bool fits(const Domain &Own, const ModelShape &Model) {
-    bool First = Own.Models.at(Model.Name).WantedGroups == 0;
-    return Model.GroupSize <= Own.Room - (First ? 0 : Own.Spares);
-  }
-
-  // Returns the models, those with the fewest engines for their share first.
-  std::vector<const ModelShape *>
-  byNeed(const std::map<std::string, double> &Assigned) const {
-    std::vector<const ModelShape *> Order;
-    for (const ModelShape &Model : Shape.Models)
-      Order.push_back(&Model);
-    auto Need = [&](const ModelShape *Each) {
-      auto Found = Assigned.find(Each->Name);
-      double Has = Found == Assigned.end() ? 0.0 : Found->second;
-      return std::pair(Has / std::max(Each->Share, 0.01), -Each->Share);
-    };
-    std::stable_sort(
-        Order.begin(), Order.end(),
-        [&](const auto *A, const auto *B) { return Need(A) < Need(B); });
-    return Order;
-  }
-
-  // Divides the engines beyond the groups among the models by their shares.
-  void planSpares() {
-    std::map<std::string, double> Staged;
-    for (auto &[Name, Each] : Domains) {
-      for (const ModelShape &Model : Shape.Models) {
-        DomainModel &Own = Each.Models[Model.Name];
-        Own.WantedStaged = Own.WantedGroups * Model.GroupSize;
-        Staged[Model.Name] += Own.WantedStaged;
-      }
-    }
-    for (auto &[Name, Each] : Domains) {
-      for (int Left = Each.Room; Left > 0; --Left) {
-        const ModelShape *Model = byNeed(Staged).front();
-        ++Each.Models[Model->Name].WantedStaged;
-        ++Staged[Model->Name];
-      }
-    }
-  }
-
-  // Whether an engine may give up the weights of Old for those of New: Old
-  // keeps no fewer engines for its share than New then has.
-  bool mayGiveUp(const std::string &Old, const ModelShape &New) const {
-    double HasOld = 0;
-    double HasNew = 0;
-    for (const auto &[Name, Each] : Domains) {
-      auto FoundOld = Each.Models.find(Old);
-      auto FoundNew = Each.Models.find(New.Name);
-      HasOld += FoundOld == Each.Models.end() ? 0 : FoundOld->second.Staged;
-      HasNew += FoundNew == Each.Models.end() ? 0 : FoundNew->second.Staged;
-    }
-    const ModelShape *Shape = findModel(Service, Old);
-    if (!Shape)
-      return true;
-    return (HasOld - 1) / std::max(Shape->Share, 0.01) >=
-           (HasNew + 1) / std::max(New.Share, 0.01);
-  }
-
-  void formGroups(Domain &Own) {
-    for (const ModelShape *Model : byNeed(GroupedEngines)) {
+  void formGroups(EngineDomain &Own) {
+    for (const ModelShape *Model : modelsByNeed(Service, GroupedEngines)) {
       while (formOne(Own, *Model)) {
       }
     }
   }
 
-  bool formOne(Domain &Own, const ModelShape &Model) {
+  bool formOne(EngineDomain &Own, const ModelShape &Model) {
     DomainModel &Count = Own.Models[Model.Name];
     std::vector<const PlannedInstance *> Ready;
     std::vector<const PlannedInstance *> Blank;
@@ -618,7 +454,7 @@
 
   // Whether all Chosen have just told their state themselves; the others are
   // asked, and none is used for another group before they answer.
-  bool confirmed(Domain &Own,
+  bool confirmed(EngineDomain &Own,
                  const std::vector<const PlannedInstance *> &Chosen) {
     bool All = true;
     for (const PlannedInstance *Each : Chosen) {
@@ -649,7 +485,7 @@
         [&](const auto *A, const auto *B) { return Rank(A) < Rank(B); });
   }
 
-  void startForming(Domain &Own, const ModelShape &Model,
+  void startForming(EngineDomain &Own, const ModelShape &Model,
                     const std::vector<const PlannedInstance *> &Chosen) {
     Formation Made;
     Made.Epoch = State.NextEpoch++;
@@ -694,7 +530,7 @@
 
   // Loads weights on free engines where a domain has too few for its groups and
   // spares.
-  void stageWeights(Domain &Own) {
+  void stageWeights(EngineDomain &Own) {
     for (const PlannedInstance *Each : Own.Free) {
       if (loading(*Each) || !loadsAllowed(1))
         continue;
@@ -709,7 +545,7 @@
     }
   }
 
-  const ModelShape *wantedStage(const Domain &Own,
+  const ModelShape *wantedStage(const EngineDomain &Own,
                                 const PlannedInstance &Each) {
     for (const std::string &Old : Each.Listed.Staged) {
       auto Has = Own.Models.find(Old);
@@ -721,7 +557,7 @@
     int BestMissing = 0;
     for (const ModelShape &Model : Shape.Models) {
       if (!Each.Listed.Staged.empty() &&
-          !mayGiveUp(Each.Listed.Staged.front(), Model))
+          !mayGiveUp(Domains, Service, Each.Listed.Staged.front(), Model))
         continue;
       auto Found = Own.Models.find(Model.Name);
       if (Found == Own.Models.end())
@@ -742,8 +578,8 @@
   bool FirstStart;
   TimePoint Now;
   std::map<GroupKey, SeenGroup> Groups;
-  std::map<std::string, Domain> Domains;
-  std::map<std::string, double> GroupedEngines;
+  EngineDomains Domains;
+  ModelEngines GroupedEngines;
   std::set<InstanceId> Bound;
   std::vector<GroupOrder> Orders;
 };
