Relay on the entries with the largest share of a processor

Cause: relays were chosen by name alone. Each report also recomputed the loads, 30 times a period at a relay.

Change: entries state their share (setting processor_share) with their address; the largest relay, rendezvous decides among equals. Loads are recomputed once for reports that come within 10 ms. How old the list may be follows the drain time of the settings, which nothing used before.

--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -4,6 +4,8 @@
 //   entry = "edge-1"
 //   zone = "north"
 //   first_start = false           # the whole system starts for the first time
+//   processor_share = 0.25        # cores that the entry may use; the entries
+//                                 # with most relay for their zone
 //   [listen]                      # "<IP>:<port>"
 //   callers = "10.1.0.40:8227"
 //   readiness = "10.1.0.40:8220"
@@ -29,6 +31,7 @@
   EntryId Entry;
   ZoneId Zone;
   bool FirstStart = false;
+  double ProcessorShare = 0; // cores
   SocketAddress Callers;
   SocketAddress Readiness;
   SocketAddress Peers;
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -20,21 +20,27 @@
 
 namespace samphirehill::serving {
 
+// An entry as it makes itself known.
+struct KnownEntry {
+  EntryId Entry;
+  ZoneId Zone;
+  SocketAddress Address;     // for datagrams
+  double ProcessorShare = 0; // cores
+};
+
 class PeerGossip {
 public:
-  // Fill returns the current report; OnReport is called with each new one, of
-  // an entry or the summary of a zone.
-  PeerGossip(asio::io_context &Context, TimerService &Timers, EntryId Self,
-             ZoneId Zone, PeerSettings Settings,
-             std::function<EntryReport()> Fill,
+  // Own names this entry. Fill returns the current report; OnReport is called
+  // with each new one, of an entry or the summary of a zone.
+  PeerGossip(asio::io_context &Context, TimerService &Timers, KnownEntry Own,
+             PeerSettings Settings, std::function<EntryReport()> Fill,
              std::function<void(const EntryReport &)> OnReport);
 
   // Fails with InvalidSettings.
   Result<void> listen(const SocketAddress &Own);
 
   // Adds an entry that the platform's store lists.
-  void addPeer(const EntryId &Entry, const ZoneId &Zone,
-               const SocketAddress &Address);
+  void addPeer(const KnownEntry &Listed);
 
   const std::map<EntryId, PeerEntry> &peers() const { return Table.Peers; }
 
@@ -49,6 +55,7 @@
   void receive();
   void received(std::size_t Size);
   void send();
+  void noteRelays() const;
   void sendTo(const EntryId &Entry, const std::string &Bytes);
 
   TimerService &Timers;
--- a/include/samphirehill/Serving/PeerTable.h
+++ b/include/samphirehill/Serving/PeerTable.h
@@ -41,8 +41,9 @@
   EntryReport Last;
   SocketAddress Address;
   ZoneId Zone;
-  TimePoint HeardAt{};    // time point zero: never
-  TimePoint HeardSince{}; // without a gap above PeerSettings::LoadMaxAge
+  double ProcessorShare = 0; // cores
+  TimePoint HeardAt{};       // time point zero: never
+  TimePoint HeardSince{};    // without a gap above PeerSettings::LoadMaxAge
   // Since when it is told as a relay and has not been heard; zero: not so.
   TimePoint AwaitedSince{};
   // When it last told a zone's summary: it is a relay.
@@ -60,6 +61,7 @@
   PeerSettings Settings;
   EntryId Self;
   ZoneId Zone;
+  double ProcessorShare = 0; // cores
   std::map<EntryId, PeerEntry> Peers;
   // By zone and the relay that summed it up.
   std::map<ZoneId, std::map<EntryId, SummaryEntry>> Summaries;
@@ -69,6 +71,8 @@
     std::map<UpstreamKey, UpstreamLoad> Loads;
   };
   std::deque<Told> Sent;
+  // Relays of the own zone that were told last.
+  std::vector<EntryId> ToldRelays;
 };
 
 // A message to several entries.
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -78,6 +78,9 @@
   // Tells whether a relay tells this entry the changes of the list, so that the
   // platform need be asked less often.
   bool listRelayed() const { return Peers.listRelayed(); }
+  // Returns how old the list may be at most where the platform is in reach:
+  // a leaving instance must get no new work in time.
+  Duration longestListAge() const { return Settings.Drain * 4 / 5; }
   // Called when another entry knows a newer configuration, or other zones out
   // of service, or when the relays no longer tell the list.
   std::function<void()> OnPlatformNews;
@@ -133,6 +136,7 @@
   TimerSubscription Tick;
   TimerSubscription PeerRetry;
   TimerSubscription Rebuild;
+  TimerSubscription LoadRefresh;
   TimerSubscription Stopping;
   bool Stopped = false;
 };
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -45,6 +45,9 @@
     Value.Entry = EntryId(Root.name("entry"));
     Value.Zone = ZoneId(Root.name("zone"));
     Value.FirstStart = Root.boolean("first_start", false);
+    constexpr double MostCores = 1'024;
+    Value.ProcessorShare =
+        Root.number("processor_share", 0, MostCores, Value.ProcessorShare);
     readListen(Root.table("listen", true), Value);
     TableReader Platform = Root.table("platform", true);
     Value.Platform = addressAt(Platform, "address");
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -7,14 +7,15 @@
 namespace samphirehill::serving {
 
 PeerGossip::PeerGossip(asio::io_context &Context, TimerService &Timers,
-                       EntryId Self, ZoneId Zone, PeerSettings Settings,
+                       KnownEntry Own, PeerSettings Settings,
                        std::function<EntryReport()> Fill,
                        std::function<void(const EntryReport &)> OnReport)
     : Timers(Timers), Fill(std::move(Fill)), OnReport(std::move(OnReport)),
       Socket(Context) {
   Table.Settings = Settings;
-  Table.Self = std::move(Self);
-  Table.Zone = std::move(Zone);
+  Table.Self = std::move(Own.Entry);
+  Table.Zone = std::move(Own.Zone);
+  Table.ProcessorShare = Own.ProcessorShare;
 }
 
 Result<void> PeerGossip::listen(const SocketAddress &Own) {
@@ -34,11 +35,11 @@
   return {};
 }
 
-void PeerGossip::addPeer(const EntryId &Entry, const ZoneId &Zone,
-                         const SocketAddress &Address) {
-  PeerEntry &Peer = Table.Peers[Entry];
-  Peer.Zone = Zone;
-  Peer.Address = Address;
+void PeerGossip::addPeer(const KnownEntry &Listed) {
+  PeerEntry &Peer = Table.Peers[Listed.Entry];
+  Peer.Zone = Listed.Zone;
+  Peer.Address = Listed.Address;
+  Peer.ProcessorShare = Listed.ProcessorShare;
 }
 
 void PeerGossip::receive() {
@@ -74,7 +75,11 @@
   TimePoint Now = Timers.now();
   EntryReport Own = Fill();
   Own.Sequence = ++Sequence;
-  for (const PlannedMessage &Each : planMessages(Table, Own, Now)) {
+  std::vector<EntryId> Before = Table.ToldRelays;
+  std::vector<PlannedMessage> Plan = planMessages(Table, Own, Now);
+  if (Table.ToldRelays != Before)
+    noteRelays();
+  for (const PlannedMessage &Each : Plan) {
     if (Each.To.empty())
       continue;
     std::string Bytes = encodeMessage(Each.Message, Now);
@@ -83,6 +88,14 @@
   }
 }
 
+void PeerGossip::noteRelays() const {
+  std::string Names;
+  for (const EntryId &Each : Table.ToldRelays)
+    Names += (Names.empty() ? "" : ",") + Each.str();
+  spdlog::info("event=relays relays=\"{}\" peers={}", Names,
+               Table.Peers.size());
+}
+
 void PeerGossip::sendTo(const EntryId &Entry, const std::string &Bytes) {
   PeerEntry &Peer = Table.Peers.at(Entry);
   const SocketAddress &Address = Peer.Address;
--- a/lib/Serving/PeerTable.cpp
+++ b/lib/Serving/PeerTable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace samphirehill::serving {
@@ -37,24 +38,26 @@
   return Ceased > Limit && Ceased < Table.Settings.SummaryMemory;
 }
 
-// Returns the relays of Zone, this entry among them where it is one: the first
-// by rendezvous, and as many that are not silent.
+// Returns the relays of Zone, this entry among them where it is one: those with
+// the largest share of a processor, by rendezvous among equals, and as many
+// that are not silent.
 std::vector<EntryId> relaysOf(const PeerTable &Table, const ZoneId &Zone,
                               TimePoint Now) {
-  std::vector<std::pair<std::uint64_t, EntryId>> Ranked;
-  auto Add = [&](const EntryId &Entry) {
-    Ranked.emplace_back(rendezvousWeight(Zone.str(), Entry.str()), Entry);
+  std::vector<std::tuple<double, std::uint64_t, EntryId>> Ranked;
+  auto Add = [&](const EntryId &Entry, double Share) {
+    Ranked.emplace_back(Share, rendezvousWeight(Zone.str(), Entry.str()),
+                        Entry);
   };
   if (Zone == Table.Zone)
-    Add(Table.Self);
+    Add(Table.Self, Table.ProcessorShare);
   for (const auto &[Entry, Peer] : Table.Peers) {
     if (Peer.Zone == Zone)
-      Add(Entry);
+      Add(Entry, Peer.ProcessorShare);
   }
   std::sort(Ranked.begin(), Ranked.end(), std::greater<>());
   std::vector<EntryId> Relays;
   std::size_t Answering = 0;
-  for (const auto &[Weight, Entry] : Ranked) {
+  for (const auto &[Share, Weight, Entry] : Ranked) {
     bool Answers = Entry == Table.Self ||
                    !silent(Entry, Table.Peers.at(Entry), Table, Now);
     if (Relays.size() < Table.Settings.RelaysPerZone || Answers)
@@ -191,6 +194,7 @@
   std::vector<PlannedMessage> Plan;
   std::vector<EntryId> Followers = followers(Table, Now);
   std::vector<EntryId> Relays = relaysOf(Table, Table.Zone, Now);
+  Table.ToldRelays = Relays;
   bool Relay =
       std::find(Relays.begin(), Relays.end(), Table.Self) != Relays.end();
   if (Relay && !Followers.empty())
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -31,6 +31,9 @@
 // Before the other entries are known, an entry's part of shared bounds is that
 // of one among many.
 constexpr int EntriesBeforeKnown = 64;
+// Reports that come together are counted together: a relay hears all entries of
+// its zone within a period.
+constexpr Duration LoadRefreshDelay = milliseconds(10);
 // The platform is asked at most this often because another entry knows more.
 constexpr Duration AskAgainPause = milliseconds(700);
 // How long an upstream that another entry sees stalled gets no work here.
@@ -38,17 +41,13 @@
 
 std::string encodeEntry(const ServingSettings &Settings) {
   return nlohmann::json{{"peers", Settings.Peers.str()},
-                        {"zone", Settings.Zone.str()}}
+                        {"zone", Settings.Zone.str()},
+                        {"processor_share", Settings.ProcessorShare}}
       .dump();
 }
 
-struct KnownEntry {
-  ZoneId Zone;
-  SocketAddress Peers;
-};
-
-std::optional<KnownEntry> decodeEntry(const std::string &Value) {
-  nlohmann::json Read = nlohmann::json::parse(Value, nullptr, false);
+std::optional<KnownEntry> decodeEntry(const StoredObject &Object) {
+  nlohmann::json Read = nlohmann::json::parse(Object.Value, nullptr, false);
   if (!Read.is_object() || !Read.contains("peers") ||
       !Read["peers"].is_string() || !Read.contains("zone") ||
       !Read["zone"].is_string())
@@ -57,8 +56,12 @@
       [&] { return parseSocketAddress(Read["peers"].get<std::string>()); });
   if (errorOf(Address))
     return std::nullopt;
-  return KnownEntry{ZoneId(Read["zone"].get<std::string>()),
-                    std::get<0>(Address)};
+  double Share = 0; // entries of earlier versions don't tell it
+  if (Read.contains("processor_share") && Read["processor_share"].is_number())
+    Share = Read["processor_share"].get<double>();
+  return KnownEntry{EntryId(Object.Name),
+                    ZoneId(Read["zone"].get<std::string>()),
+                    std::get<0>(Address), Share};
 }
 
 std::uint64_t hashOf(const std::set<ZoneId> &Zones) {
@@ -110,8 +113,10 @@
                       answerMetrics(Request);
                     }),
       Peers(
-          Context, Timers, Settings.Entry, Settings.Zone, PeerSettings{},
-          [this] { return report(); },
+          Context, Timers,
+          KnownEntry{Settings.Entry, Settings.Zone, Settings.Peers,
+                     Settings.ProcessorShare},
+          PeerSettings{}, [this] { return report(); },
           [this](const EntryReport &Report) { heard(Report); }),
       Groups(Timers, Instances, Book, Peers, Metrics, this->Supplied.Store,
              this->Supplied.Calls, groupSettings(Settings)),
@@ -181,8 +186,8 @@
             Current = Each.Value == encodeEntry(Settings);
             continue;
           }
-          if (std::optional<KnownEntry> Known = decodeEntry(Each.Value))
-            Peers.addPeer(EntryId(Each.Name), Known->Zone, Known->Peers);
+          if (std::optional<KnownEntry> Known = decodeEntry(Each))
+            Peers.addPeer(*Known);
         }
         spdlog::info("event=peers_listed entries={}", Peers.peers().size() + 1);
         if (!Current)
@@ -335,7 +340,11 @@
 
 void ServingEntry::heard(const EntryReport &Report) {
   Groups.heard(Report);
-  setLoadElsewhere(Book, Peers.loadElsewhere());
+  if (!LoadRefresh.active())
+    LoadRefresh = Timers.after(LoadRefreshDelay, [this] {
+      LoadRefresh.cancel();
+      setLoadElsewhere(Book, Peers.loadElsewhere());
+    });
   for (const ListChange &Each : Report.Changes) {
     if (OnListChange && newsOfList(Each))
       OnListChange(Each);
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -15,8 +15,8 @@
   GroupControllerTest()
       : Timers(Context),
         Peers(
-            Context, Timers, EntryId("edge-1"), ZoneId("north"), {},
-            [] { return EntryReport{}; }, [](const EntryReport &) {}) {
+            Context, Timers, KnownEntry{EntryId("edge-1"), ZoneId("north"), {}},
+            {}, [] { return EntryReport{}; }, [](const EntryReport &) {}) {
     Config.Version = 1;
     Config.Services[PoolService] = poolShape();
     Config.Services[PoolService].Engine->Models = {
--- a/test/Serving/PeerGossipTest.cpp
+++ b/test/Serving/PeerGossipTest.cpp
@@ -18,7 +18,7 @@
   std::map<std::string, int> Heard;
   auto Make = [&](const std::string &Name) {
     return std::make_unique<PeerGossip>(
-        Context, Timers, EntryId(Name), ZoneId(Name), Fast,
+        Context, Timers, KnownEntry{EntryId(Name), ZoneId(Name), {}}, Fast,
         [Name] {
           EntryReport Report;
           Report.Entry = EntryId(Name);
@@ -35,7 +35,7 @@
   SocketAddress SecondAt{"127.0.0.1", freePort()};
   ASSERT_TRUE(First->listen(FirstAt));
   ASSERT_TRUE(Second->listen(SecondAt));
-  First->addPeer(EntryId("b"), ZoneId("b"), SecondAt);
+  First->addPeer({EntryId("b"), ZoneId("b"), SecondAt});
   TimePoint Deadline = Timers.now() + seconds(5);
   while ((Heard["a"] < 2 || Heard["b"] < 2) && Timers.now() < Deadline)
     Context.run_one_for(std::chrono::milliseconds(20));
--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace samphirehill::serving {
 namespace {
@@ -123,6 +124,20 @@
   }
 }
 
+TEST(PeerTableTest, EntriesWithTheLargestProcessorShareRelay) {
+  PeerWorld World(3, 30);
+  std::set<EntryId> Large{EntryId("z1-7"), EntryId("z1-21")};
+  for (auto &[Entry, Table] : World.Tables) {
+    Table.ProcessorShare = Large.contains(Entry) ? 0.5 : 0.12;
+    for (auto &[Other, Peer] : Table.Peers)
+      Peer.ProcessorShare = Large.contains(Other) ? 0.5 : 0.12;
+  }
+  World.run(3);
+  const std::vector<EntryId> &Told =
+      World.Tables.at(EntryId("z1-3")).ToldRelays;
+  EXPECT_EQ(std::set<EntryId>(Told.begin(), Told.end()), Large);
+}
+
 TEST(PeerTableTest, RelaysTellTheListToAllButThemselves) {
   PeerWorld World(3, 30);
   World.run(10);
