Remember place rates of served models only; drop the unused removal of objects

Read through: a caller's model name made an entry in the map of place rates even where no upstream has the model, so callers could grow it without bound. Rates are now noted when a place is given out. ObjectStore.Remove had no caller.

--- a/include/samphirehill/Serving/ObjectStore.h
+++ b/include/samphirehill/Serving/ObjectStore.h
@@ -38,10 +38,6 @@
   std::function<void(const std::string &Kind, const StoredObject &Object,
                      std::function<void(Outcome<StoredObject>)> Done)>
       Write;
-  // Removes an object, at whatever revision.
-  std::function<void(const std::string &Kind, const std::string &Name,
-                     std::function<void(Outcome<bool>)> Done)>
-      Remove;
 };
 
 } // namespace samphirehill::serving
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -84,7 +84,7 @@
   friend class RequestFlow;
   void sweep();
   // Refuses one request if too many wait for the places that Newest waits for.
-  void refuseExcess(RequestFlow &Newest);
+  void refuseExcess(const RequestFlow &Newest);
   void finished(const std::shared_ptr<RequestFlow> &Flow);
 
   FlowShared Shared;
@@ -92,7 +92,8 @@
   std::shared_ptr<const Configuration> Config;
   std::unordered_set<std::shared_ptr<RequestFlow>> Flows;
   std::vector<std::shared_ptr<RequestFlow>> Waiting;
-  std::map<std::pair<ServiceId, std::string>, PlaceRate> Places; // by model
+  // By service and model; only of those that had places.
+  std::map<std::pair<ServiceId, std::string>, PlaceRate> Places;
   TimerSubscription Sweep;
   std::minstd_rand Random;
   std::uint64_t NextNumber = 0;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -105,7 +105,11 @@
   // Refuses the request while it waits: others will take the places that come.
   void refuseWaiting() { giveUp(ResultCode::Overloaded, "queue_full"); }
 
-  PlaceRate &placeRate() { return Owner.Places[{Shape->Id, model()}]; }
+  // Returns how often places of its kind are given out.
+  PlaceRate placeRate() const {
+    auto Found = Owner.Places.find({Shape->Id, model()});
+    return Found == Owner.Places.end() ? PlaceRate{} : Found->second;
+  }
 
   void beginWaiting() {
     State = FlowState::Waiting;
@@ -212,7 +216,7 @@
     Collected = {};
     AwaitsFirst = true;
     noteSent(shared().Book, Key, query(), AttemptAt);
-    notePlace(placeRate(), AttemptAt);
+    notePlace(Owner.Places[{Shape->Id, model()}], AttemptAt);
     spdlog::info(
         "event=sent request={} attempt={} upstream={} epoch={} zone={} "
         "running={} elsewhere={} waited_ms={} left_ms={} resume={}",
@@ -618,7 +622,7 @@
   refuseExcess(*Flow);
 }
 
-void RequestFlows::refuseExcess(RequestFlow &Newest) {
+void RequestFlows::refuseExcess(const RequestFlow &Newest) {
   std::vector<std::shared_ptr<RequestFlow>> Queue;
   std::vector<WaitingRequest> Ranked;
   for (const std::shared_ptr<RequestFlow> &Each : Waiting) {
