End what is no answer and never ends; give orders on connections of their own

Looked for what operators of similar systems saw, on the platform's path: - A stream that sent a byte now and then, or an event without end, counted as moving with each byte and was never left; what had come of the event filled the memory. Only whole events are progress now, of 256 KB at most. - Answers to other requests, in heads or in one body, were passed over until the deadline: now 8 answers or 1 MB, then the connection is closed. A whole answer above the bound was read on and thrown away: it is left at once. - An order or a question to an engine took the late second copy of an earlier answer for its own: a refused leave counted as accepted, on which members are used for other groups. Each now has a connection of its own. - An order whose connection stood late, after a pause of the process, was sent although the lease had run out: the lease is asked again when it is written. - Cancelling an exchange from its own handler destroyed the handler while it ran, and its connection could be kept although closed.

Ruled out by tests that were there: a late answer on a caller's request, answers that break off, a run after a lost answer.

--- a/include/samphirehill/Serving/EventSplitter.h
+++ b/include/samphirehill/Serving/EventSplitter.h
@@ -20,6 +20,9 @@
 // unchanged, without those that the caller already has.
 std::string takeEvents(EventSplitter &Splitter, std::string_view Bytes);
 
+// Whether more has come without the end of an event than an event may hold.
+bool eventTooLong(const EventSplitter &Splitter);
+
 // Returns what follows the last whole event of a stream that has ended.
 std::string takeRest(EventSplitter &Splitter);
 
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -23,9 +23,11 @@
 
 // Calls to instances; the adapter supplies them.
 struct InstanceCalls {
-  // Gives Order. The value tells whether it was accepted. Fails with StaleFence
-  // if the instance has seen a higher fence.
+  // Gives Order if Allowed holds when it is sent. The value tells whether it
+  // was accepted. Fails with StaleFence if the instance has seen a higher
+  // fence.
   std::function<void(const Instance &To, const GroupOrder &Order,
+                     std::function<bool()> Allowed,
                      std::function<void(Outcome<bool>)> Done)>
       Order;
   // Asks an instance for its state; returns To with what it reports. Fails with
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -44,8 +44,20 @@
   bool AnswerHasNoBody = false; // HEAD
   // Whether the connection may be kept after the answer.
   bool Keep = true;
+  // Asked just before the request is written, which may be long after start: a
+  // process may be paused in between. If it returns false nothing is sent.
+  std::function<bool()> StillAllowed;
 };
 
+// Options of a call whose answer can't be told from a late answer to an earlier
+// request on the same connection: it uses a connection of its own.
+inline ExchangeOptions ownConnection() {
+  ExchangeOptions Options;
+  Options.MaxIdle = Duration::zero();
+  Options.Keep = false;
+  return Options;
+}
+
 class PooledConnection;
 
 // One request in progress. Dropping the last reference doesn't end it.
@@ -89,7 +101,8 @@
   // Timeout after Limit.
   std::shared_ptr<Exchange>
   call(const SocketAddress &Address, const HttpRequest &Request, Duration Limit,
-       std::function<void(Outcome<HttpResponse>)> Done);
+       std::function<void(Outcome<HttpResponse>)> Done,
+       ExchangeOptions Options = {});
 
   // Closes kept connections to addresses for which Keep returns false.
   void retain(const std::function<bool(const SocketAddress &)> &Keep);
--- a/lib/Serving/EventSplitter.cpp
+++ b/lib/Serving/EventSplitter.cpp
@@ -7,6 +7,9 @@
 namespace samphirehill::serving {
 namespace {
 
+// Bytes of one event; those of engines hold a few tokens.
+constexpr std::size_t MaxEventBytes = 262'144;
+
 struct EventEnd {
   std::size_t Size = 0; // of the event with its empty line; 0: not whole
 };
@@ -67,6 +70,10 @@
   return Whole;
 }
 
+bool eventTooLong(const EventSplitter &Splitter) {
+  return Splitter.Partial.size() > MaxEventBytes;
+}
+
 std::string takeRest(EventSplitter &Splitter) {
   return std::exchange(Splitter.Partial, {});
 }
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -271,7 +271,8 @@
   std::int64_t Term = Lease.Record.Term;
   std::int64_t Life = To.BornMilliseconds;
   Calls.Order(
-      To, Order, [this, Order, Term, Life](const Outcome<bool> &Answer) {
+      To, Order, [this, Term] { return holds() && Lease.Record.Term == Term; },
+      [this, Order, Term, Life](const Outcome<bool> &Answer) {
         const Error *Failed = errorOf(Answer);
         if (!Failed && std::get<0>(Answer)) {
           Probes[Order.To].AcceptedFence = Order.Fence;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -318,17 +318,29 @@
   }
 
   void body(std::string_view Part) {
+    if (State == FlowState::Streaming)
+      return streamed(Part);
     heard();
-    if (State != FlowState::Streaming) {
-      if (Collected.Body.size() + Part.size() <= MaxCollectedBytes)
-        Collected.Body += Part;
-      else
-        Overflow = true;
-      return;
-    }
+    if (Collected.Body.size() + Part.size() > MaxCollectedBytes)
+      return endless("answer without end");
+    Collected.Body += Part;
+  }
+
+  // An upstream in trouble may send bytes without end.
+  void endless(const std::string &Cause) {
+    if (Attempt)
+      Attempt->cancel();
+    attemptFailed(ExchangeFailure::Broken, Cause);
+  }
+
+  // Bytes that complete no event are no progress.
+  void streamed(std::string_view Part) {
     std::string Whole = takeEvents(Splitter, Part);
+    if (eventTooLong(Splitter))
+      return endless("event without end");
     if (Whole.empty())
       return;
+    heard();
     heardEvents();
     if (!Gone)
       Caller->streamPart(Whole);
@@ -338,7 +350,7 @@
     Attempt.reset();
     bool Streamed = State == FlowState::Streaming;
     bool Success = Collected.Status >= 200 && Collected.Status < 300;
-    if (Success && (!CollectedFacts.Sealed || Overflow))
+    if (Success && !CollectedFacts.Sealed)
       return attemptFailed(ExchangeFailure::Broken, "answer without seal");
     if (CollectedFacts.NotRun)
       return refusedByUpstream();
@@ -601,7 +613,6 @@
   bool HeadSeen = false;
   bool AwaitsFirst = false; // no event of this attempt yet
   bool HeadForwarded = false;
-  bool Overflow = false;
   bool NoBudget = false;
   bool Gone = false;
   NoPlace LastReason = NoPlace::Absent;
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -18,6 +18,10 @@
 // Whole answers that call collects; the platform's values are 1 MB at most.
 constexpr std::size_t MaxCollectedBytes = 16'777'216;
 constexpr std::size_t MaxIdlePerAddress = 32;
+// Answers that belong to other requests, and bytes of their bodies, that are
+// passed over before the peer is taken for faulty.
+constexpr int MaxForeignAnswers = 8;
+constexpr std::size_t MaxForeignBytes = 1'048'576;
 // A kept connection is given up this long before its peer's timeout.
 constexpr Duration IdleMargin = milliseconds(500);
 
@@ -61,6 +65,8 @@
     Handlers = std::move(Given);
     Busy = true;
     WriteDone = false;
+    ForeignAnswers = 0;
+    ForeignBytes = 0;
     if (Connected)
       write();
     else
@@ -68,6 +74,9 @@
   }
 
   void cancel() {
+    // One of the handlers may be running.
+    if (Pool)
+      asio::post(Pool->Context, [Old = std::exchange(Handlers, {})] {});
     Handlers = {};
     Busy = false;
     close();
@@ -133,6 +142,12 @@
   }
 
   void write() {
+    if (Options.StillAllowed && !Options.StillAllowed()) {
+      asio::post(Pool->Context, [Self = shared_from_this()] {
+        Self->fail("no longer allowed");
+      });
+      return;
+    }
     SentAny = true;
     asio::async_write(
         Socket, asio::buffer(Output),
@@ -180,6 +195,8 @@
         return fail("answer is malformed");
       if (!Socket.is_open())
         return;
+      if (ForeignAnswers > MaxForeignAnswers || ForeignBytes > MaxForeignBytes)
+        return fail("answers to other requests without end");
       Bytes.remove_prefix(Taken);
     }
     read();
@@ -194,19 +211,25 @@
       if (!Ours && Busy && Pool)
         ++Pool->Counters.StrayAnswers;
     }
+    if (!Ours)
+      ++ForeignAnswers;
     if (std::optional<Duration> Stated = keepAliveTimeout(Reader.headers()))
       PeerIdle = *Stated - IdleMargin;
     return !Options.AnswerHasNoBody;
   }
 
   void body(std::string_view Part) {
-    if (Ours && Handlers.OnBody)
+    if (!Ours)
+      ForeignBytes += Part.size();
+    else if (Handlers.OnBody)
       Handlers.OnBody(Part);
   }
 
   void messageComplete() {
+    if (!Busy)
+      return; // cancelled by a handler
     if (!Ours) {
-      if (!PeerKeeps && Busy && Reader.status() >= 200)
+      if (!PeerKeeps && Reader.status() >= 200)
         fail("closed after another request's answer");
       return;
     }
@@ -261,6 +284,8 @@
   bool WriteDone = false;
   bool PeerKeeps = true;
   bool Ours = false;
+  int ForeignAnswers = 0; // since the request was sent
+  std::size_t ForeignBytes = 0;
 };
 
 void Exchange::cancel() {
@@ -310,10 +335,9 @@
   return std::make_shared<Exchange>(Used);
 }
 
-std::shared_ptr<Exchange>
-ExchangePool::call(const SocketAddress &Address, const HttpRequest &Request,
-                   Duration Limit,
-                   std::function<void(Outcome<HttpResponse>)> Done) {
+std::shared_ptr<Exchange> ExchangePool::call(
+    const SocketAddress &Address, const HttpRequest &Request, Duration Limit,
+    std::function<void(Outcome<HttpResponse>)> Done, ExchangeOptions Options) {
   struct Call {
     HttpResponse Answer;
     TimerSubscription Timer;
@@ -352,7 +376,6 @@
       Code = ResultCode::UpstreamLost;
     Finish(Error{Code, Cause});
   };
-  ExchangeOptions Options;
   Options.ConnectTimeout = std::min(Limit, Options.ConnectTimeout);
   State->Running = start(Address, serialize(Request), Options, Handlers);
   State->Timer = Timers.after(Limit, [State, Finish] {
--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -1,4 +1,5 @@
 #include "Requests.h"
+#include "Serving/Loopback.h"
 
 #include <gtest/gtest.h>
 
@@ -82,5 +83,56 @@
   EXPECT_EQ(*findHeader(Answer.Headers, "X-Samphirehill-Attempt-Id"), "9c41");
 }
 
+class InstanceCallsTest : public testing::Test {
+protected:
+  InstanceCallsTest() : Timers(Context), Pool(Context, Timers) {}
+
+  // Gives an order; returns whether it was accepted, or nothing on a failure.
+  std::optional<bool> order(const serving::ScriptedServer &Engine,
+                            std::function<bool()> Allowed) {
+    serving::Instance To;
+    To.Id = InstanceId("i-1");
+    To.Address = {"127.0.0.1", Engine.port()};
+    std::optional<Outcome<bool>> Got;
+    instanceCalls(Pool).Order(
+        To, {serving::OrderKind::Leave, To.Id, "m.1", 1, "m", {}, 7},
+        std::move(Allowed), [&](const Outcome<bool> &Answer) { Got = Answer; });
+    EXPECT_TRUE(serving::runUntil(Context, [&] { return Got.has_value(); }));
+    if (!Got || errorOf(*Got))
+      return std::nullopt;
+    return std::get<0>(*Got);
+  }
+
+  asio::io_context Context;
+  TimerService Timers;
+  serving::ExchangePool Pool;
+};
+
+// A late second copy of an answer, where that of the next order is expected: an
+// order that was refused must not count as accepted.
+TEST_F(InstanceCallsTest, DoesNotTakeALateCopyForTheAnswerToTheNextOrder) {
+  const serving::ScriptedConnection *First = nullptr;
+  auto Script = [&](serving::ScriptedConnection &To, int Number) {
+    if (Number == 1)
+      First = &To;
+    if (Number == 2 && &To == First)
+      To.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    To.send(Number == 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                        : "HTTP/1.1 409 No\r\nContent-Length: 0\r\n\r\n");
+  };
+  serving::ScriptedServer Engine(Context, Script);
+  EXPECT_EQ(order(Engine, {}), true);
+  EXPECT_EQ(order(Engine, {}), false);
+}
+
+// The process was paused after it had decided on the order; its lease has run
+// out when the connection stands.
+TEST_F(InstanceCallsTest, SendsNoOrderWhoseLeaseHasRunOut) {
+  serving::ScriptedServer Engine(Context,
+                                 [](serving::ScriptedConnection &, int) {});
+  EXPECT_EQ(order(Engine, [] { return false; }), std::nullopt);
+  EXPECT_EQ(Engine.requests(), 0);
+}
+
 } // namespace
 } // namespace samphirehill::platform
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -46,6 +46,7 @@
     bool Joined = false;
     InstanceCalls Calls;
     Calls.Order = [&](const Instance &, const GroupOrder &Order,
+                      const std::function<bool()> &,
                       const std::function<void(Outcome<bool>)> &Done) {
       Joined = Joined || Order.Kind == OrderKind::Join;
       Done(true);
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -317,6 +317,99 @@
               }));
 }
 
+const std::string StreamHead = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &Data) { return serializeChunk(Data); }
+
+// Bytes that are no event and never end must not fill the entry's memory.
+TEST_F(RequestFlowTest, LeavesAnEventWithoutEnd) {
+  TimerSubscription Flood;
+  addEngine(PoolService, [&](ScriptedConnection &To, int) {
+    To.send(StreamHead + chunk("id: 1\n\n"));
+    Flood = Timers.every(milliseconds(1),
+                         [&To] { To.send(chunk(std::string(16'384, 'x'))); });
+  });
+  ScriptedServer &Second =
+      addEngine(PoolService, [](ScriptedConnection &To, int) {
+        To.send(StreamHead + chunk("id: 2\n\n") + std::string(LastChunk));
+      });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("id: 2\n\n"));
+  Flood.cancel();
+  EXPECT_NE(Second.Heads[0].find("last: 1"), std::string::npos);
+  EXPECT_EQ(Got.find("xxx"), std::string::npos);
+  EXPECT_TRUE(runUntil(
+      Context, [&] { return Engines[0]->connections()[0]->PeerClosed; }));
+}
+
+// A byte now and then is no progress; only whole events are.
+TEST_F(RequestFlowTest, MovesStreamAwayFromAnEngineThatSendsByteByByte) {
+  TimerSubscription Drip;
+  addEngine(PoolService, [&](ScriptedConnection &To, int) {
+    To.send(StreamHead + chunk("id: 1\n\n"));
+    Drip = Timers.every(milliseconds(40), [&To] { To.send(chunk("x")); });
+  });
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(StreamHead + chunk("id: 2\n\n") + std::string(LastChunk));
+  });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("id: 2\n\n"));
+  Drip.cancel();
+  EXPECT_EQ(Got.find('x'), std::string::npos);
+}
+
+// A slow stream whose events come whole is sound.
+TEST_F(RequestFlowTest, KeepsASlowStreamThatSendsWholeEvents) {
+  int Sent = 0;
+  TimerSubscription Drip;
+  addEngine(PoolService, [&](ScriptedConnection &To, int) {
+    To.send(StreamHead);
+    Drip = Timers.every(milliseconds(100), [&To, &Sent, &Drip] {
+      To.send(chunk("id: " + std::to_string(++Sent) + "\n\n"));
+      if (Sent < 6)
+        return;
+      To.send(std::string(LastChunk));
+      Drip.cancel();
+    });
+  });
+  ScriptedServer &Second =
+      addEngine(PoolService, [](ScriptedConnection &, int) {});
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("0\r\n\r\n"));
+  EXPECT_NE(Got.find("id: 6"), std::string::npos);
+  EXPECT_EQ(Second.requests(), 0);
+}
+
+// Answers to other requests that never end: the request may have run, and is
+// answered long before its deadline.
+TEST_F(RequestFlowTest, GivesUpOnForeignAnswersWithoutEnd) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    for (int Number = 0; Number < 50; ++Number)
+      To.send(answer("200 OK\r\nid: other\r\nseal: s", "wrong"));
+  });
+  TimePoint Begun = Timers.now();
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer("502"));
+  EXPECT_LT(Timers.now() - Begun, seconds(1));
+  EXPECT_EQ(Got.find("wrong"), std::string::npos);
+  EXPECT_EQ(Engines[0]->requests(), 1);
+}
+
+// A body without end: the connection is closed, the request ends.
+TEST_F(RequestFlowTest, GivesUpOnABodyWithoutEnd) {
+  TimerSubscription Flood;
+  addEngine(PlainService, [&](ScriptedConnection &To, int) {
+    To.send("HTTP/1.1 200 OK\r\nid: other\r\nseal: s\r\n\r\n");
+    Flood = Timers.every(milliseconds(1),
+                         [&To] { To.send(std::string(65'536, 'x')); });
+  });
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer("502"));
+  Flood.cancel();
+  EXPECT_EQ(Engines[0]->requests(), 1);
+}
+
 TEST_F(RequestFlowTest, EndsEnginesWorkWhenTheCallerLeaves) {
   ScriptedServer &Engine =
       addEngine(PoolService, [](ScriptedConnection &, int) {});
