--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -120,6 +120,10 @@
                                    const ServiceShape &Service, bool FirstStart,
                                    TimePoint Now);
 
+// Notes that an instance did not take Order: an engine that loads other weights
+// for an earlier holder of the duty is not loading the ordered ones.
+void noteRefused(GroupPlanState &State, const GroupOrder &Order);
+
 } // namespace samphirehill::serving
 
 #endif // SAMPHIREHILL_SERVING_GROUPPLAN_H
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -284,8 +284,12 @@
                      toString(Order.Kind), Order.To.str(), Order.Epoch,
                      Failed ? Failed->Message
                             : "does not fit the instance's state");
-        if (!Failed)
+        if (!Failed) {
+          auto To = Instances.Instances.find(Order.To);
+          if (To != Instances.Instances.end())
+            noteRefused(Plans[To->second.Listed.Service], Order);
           return;
+        }
         // A refused fence above all that were ordered here is another holder's.
         if (Failed->Code == ResultCode::StaleFence &&
             Lease.Record.Term == Term &&
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -595,4 +595,9 @@
   return Planner(State, Engines, Service, FirstStart, Now).run();
 }
 
+void noteRefused(GroupPlanState &State, const GroupOrder &Order) {
+  if (Order.Kind == OrderKind::Stage)
+    State.Loading.erase(Order.To);
+}
+
 } // namespace samphirehill::serving
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -251,5 +251,34 @@
   RC_ASSERT(World.Broken == std::vector<std::string>());
 }
 
+// Seen on the bench: a new holder of the duty ordered a load from an engine
+// that still loaded for the earlier one, and waited for it for twice the time
+// of a load, 24 s, in which the domain had no group.
+TEST(GroupPlanTest, OrdersALoadAgainThatWasRefused) {
+  GroupPlanState State;
+  State.FirstEpoch = 200'000;
+  ServiceShape Shape = poolShape();
+  Shape.Engine->Models = {Shape.Engine->Models[1]};
+  std::vector<PlannedInstance> Engines;
+  for (const char *Name : {"a", "b"})
+    Engines.push_back(
+        {engine(Name, "north-d0"), Liveness::Alive, false, false});
+  TimePoint Now{seconds(100)};
+  auto StagesOf = [&](const std::string &Name) {
+    int Count = 0;
+    for (const GroupOrder &Each :
+         planGroups(State, Engines, Shape, false, Now)) {
+      if (Each.Kind != OrderKind::Stage || Each.To.str() != Name)
+        continue;
+      ++Count;
+      noteRefused(State, Each);
+    }
+    return Count;
+  };
+  EXPECT_EQ(StagesOf("a"), 1);
+  Now += seconds(2);
+  EXPECT_EQ(StagesOf("a"), 1);
+}
+
 } // namespace
 } // namespace samphirehill::serving
