--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -83,8 +83,12 @@
   // Tells whether relays tell this entry what the store says, so that it need
   // not be asked. The holder of the duty always asks.
   bool platformTold() const;
-  // Tells whether other entries may be told by this one.
-  bool tellsList() const { return Peers.mayRelay(); }
+  // Tells whether other entries rely on this one for what the store says.
+  bool tellsPlatform() const { return Peers.manyEntries() && Peers.mayRelay(); }
+  // Tells whether this entry is to be told what the store says by others.
+  bool reliesOnOthers() const {
+    return Peers.manyEntries() && !Peers.mayRelay();
+  }
 
   // Tells whether this entry holds the group duty.
   bool holdsDuty() const { return Groups.holds(); }
