--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -122,6 +122,9 @@
   void tick();
   void stepLease();
   void plan();
+  // Logs and counts how the groups of each model stand, if that has changed.
+  void tellModels(const std::map<std::string, ModelSummary> &Before,
+                  const std::map<std::string, ModelSummary> &Models);
   void probeSuspects();
   void probeMembers(const std::set<UpstreamKey> &Stalled);
   void probe(const Instance &Asked, bool IsUnlisted);
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -87,6 +87,18 @@
   TimePoint GiveUpAt{};
 };
 
+// How the engines stand for one model.
+struct ModelSummary {
+  int Serving = 0;  // whole groups whose head serves
+  int Forming = 0;  // groups whose members were ordered to join
+  int Wanted = 0;   // groups that the engines are enough for
+  int Stranded = 0; // engines of broken groups that may not be used elsewhere
+  int Free = 0;     // usable engines in no group that have the weights
+  int Loading = 0;  // engines that load the weights
+
+  bool operator==(const ModelSummary &) const = default;
+};
+
 // Weights that an engine has been ordered to load.
 struct WeightLoad {
   std::string Model;
@@ -110,7 +122,8 @@
   std::map<std::int64_t, TimePoint> HeadlessSince;
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
-  std::vector<TimePoint> LoadStarts; // of the last second
+  std::vector<TimePoint> LoadStarts;          // of the last second
+  std::map<std::string, ModelSummary> Models; // after the last planning
 };
 
 // Returns the orders to give now for the engines of Service. FirstStart tells
--- a/include/samphirehill/Serving/ServingMetrics.h
+++ b/include/samphirehill/Serving/ServingMetrics.h
@@ -9,9 +9,11 @@
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace samphirehill::serving {
 
@@ -35,6 +37,11 @@
   // Sets a value that can go up and down.
   void set(std::string_view Name, double Value);
 
+  // Likewise, one value for each combination of labels.
+  using Labels = std::initializer_list<
+      std::pair<std::string_view, std::string_view>>; // name and value
+  void set(std::string_view Name, Labels Labels, double Value);
+
   // Returns all of them.
   std::string text() const;
 
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -243,9 +243,32 @@
     State.Settings = Settings.Plan;
     State.FirstEpoch = Lease.Record.Term * EpochsPerTerm;
     State.NextEpoch = std::max(State.NextEpoch, State.FirstEpoch);
+    std::map<std::string, ModelSummary> Before = State.Models;
     for (const GroupOrder &Order :
          planGroups(State, planned(Id), Service, First, Now))
       give(Order);
+    tellModels(Before, State.Models);
+  }
+}
+
+void GroupController::tellModels(
+    const std::map<std::string, ModelSummary> &Before,
+    const std::map<std::string, ModelSummary> &Models) {
+  for (const auto &[Model, Each] : Models) {
+    auto Found = Before.find(Model);
+    if (Found != Before.end() && Found->second == Each)
+      continue;
+    spdlog::info("event=model_groups model={} serving={} forming={} wanted={} "
+                 "stranded={} free={} loading={}",
+                 Model, Each.Serving, Each.Forming, Each.Wanted, Each.Stranded,
+                 Each.Free, Each.Loading);
+    auto Tell = [&](std::string_view State, int Value) {
+      Metrics.set("model_groups", {{"model", Model}, {"state", State}}, Value);
+    };
+    Tell("serving", Each.Serving);
+    Tell("forming", Each.Forming);
+    Tell("wanted", Each.Wanted);
+    Metrics.set("stranded_engines", {{"model", Model}}, Each.Stranded);
   }
 }
 
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -46,10 +46,27 @@
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
       stageWeights(Each);
+    summarize();
     return std::move(Orders);
   }
 
 private:
+  void summarize() {
+    for (const auto &[Epoch, Each] : State.Forming)
+      ++Summaries[Each.Model].Forming;
+    for (const auto &[Id, Each] : State.Loading)
+      ++Summaries[Each.Model].Loading;
+    for (const auto &[Name, Domain] : Domains) {
+      for (const auto &[Model, Each] : Domain.Models)
+        Summaries[Model].Wanted += Each.WantedGroups;
+      for (const PlannedInstance *Each : Domain.Free) {
+        for (const std::string &Model : Each->Listed.Staged)
+          ++Summaries[Model].Free;
+      }
+    }
+    State.Models = std::move(Summaries);
+  }
+
   static bool usable(const PlannedInstance &Each) {
     return Each.State == Liveness::Alive && !Each.Listed.Draining &&
            !Each.ZoneOut;
@@ -168,13 +185,21 @@
       return;
     }
     if (headMayServeUnseen(Key, Group, Head)) {
-      for (const auto &[Rank, Each] : Group.ByRank)
-        Bound.insert(Each->Listed.Id);
+      bindStranded(Group);
       return;
     }
     State.Forming.erase(Key.second);
   }
 
+  // Keeps the engines of a group that doesn't go on from other groups, as its
+  // head may still serve.
+  void bindStranded(const SeenGroup &Group) {
+    for (const auto &[Rank, Each] : Group.ByRank) {
+      Bound.insert(Each->Listed.Id);
+      Summaries[Group.Model].Stranded += usable(*Each);
+    }
+  }
+
   // Whether a member has been ordered into another group that forms: a group of
   // late orders must not open under it.
   bool promisedElsewhere(const GroupKey &Key, const SeenGroup &Group) const {
@@ -294,8 +319,10 @@
       Bound.insert(Each->Listed.Id);
     countGroup(Head, Group.Model);
     State.HeadOf[Key.second] = Head.Listed.Id;
-    if (serving(Head))
+    if (serving(Head)) {
       State.Forming.erase(Key.second);
+      ++Summaries[Group.Model].Serving;
+    }
     if (AllReady && due(openLabel(Head)))
       order({OrderKind::Open, Head.Listed.Id, Key.first, Key.second,
              Group.Model});
@@ -306,10 +333,9 @@
   void endGroup(const GroupKey &Key, const SeenGroup &Group,
                 const PlannedInstance &Head) {
     bool Lost = false;
-    for (const auto &[Rank, Each] : Group.ByRank) {
-      Bound.insert(Each->Listed.Id);
+    for (const auto &[Rank, Each] : Group.ByRank)
       Lost = Lost || Each->State != Liveness::Alive;
-    }
+    bindStranded(Group);
     const ModelShape *Model = findModel(Service, Group.Model);
     Lost = Lost || !Model ||
            Group.ByRank.size() < static_cast<std::size_t>(Model->GroupSize);
@@ -580,6 +606,7 @@
   std::map<GroupKey, SeenGroup> Groups;
   EngineDomains Domains;
   ModelEngines GroupedEngines;
+  std::map<std::string, ModelSummary> Summaries; // by model
   std::set<InstanceId> Bound;
   std::vector<GroupOrder> Orders;
 };
--- a/lib/Serving/ServingMetrics.cpp
+++ b/lib/Serving/ServingMetrics.cpp
@@ -22,6 +22,14 @@
   Gauges[fmt::format("samphirehill_{}", Name)] = Value;
 }
 
+void ServingMetrics::set(std::string_view Name, Labels Labels, double Value) {
+  std::string Joined;
+  for (const auto &[Label, Text] : Labels)
+    Joined +=
+        fmt::format("{}{}=\"{}\"", Joined.empty() ? "" : ",", Label, Text);
+  Gauges[fmt::format("samphirehill_{}{{{}}}", Name, Joined)] = Value;
+}
+
 std::string ServingMetrics::text() const {
   std::string Text;
   for (const auto &[Name, Value] : Counters)
