--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace samphirehill::serving {
 namespace {
 
@@ -33,30 +35,31 @@
     Instances.Instances[Listed.Id] = {Listed, {}, Timers.now()};
   }
 
-  // Runs the duty while the unlisted head's machine answers probes with
-  // Failure; returns whether its member was ordered into another group within
-  // Limit.
-  bool reused(ResultCode Failure, Duration Limit) {
+  // What an instance reports of itself; the default is what Instances hold.
+  using Report = std::function<Outcome<Instance>(const Instance &To)>;
+
+  // Runs the duty after Begin for Limit, or until an order of kind Last was
+  // given. Each order is accepted and noted in Given.
+  void play(const Report &Tell, Duration Limit, OrderKind Last,
+            const std::function<void(GroupController &)> &Begin) {
     ObjectStore Store;
     Store.Read = [](const std::string &, const std::string &, auto Done) {
       Done(std::optional<StoredObject>());
     };
     Store.Write = [](const std::string &, const StoredObject &Object,
                      auto Done) { Done(Object); };
-    bool Joined = false;
     InstanceCalls Calls;
     Calls.Order = [&](const Instance &, const GroupOrder &Order,
                       const std::function<bool()> &,
                       const std::function<void(Outcome<bool>)> &Done) {
-      Joined = Joined || Order.Kind == OrderKind::Join;
+      Given.push_back(Order);
+      if (OnOrder)
+        OnOrder(Order);
       Done(true);
     };
     Calls.Report = [&](const Instance &To,
                        const std::function<void(Outcome<Instance>)> &Done) {
-      if (To.Id == InstanceId("a"))
-        Done(Error{Failure, "head"});
-      else
-        Done(To);
+      Done(Tell(To));
     };
     GroupControllerSettings Settings;
     Settings.Entry = "edge-1";
@@ -66,13 +69,35 @@
     Settings.UnlistedWait = milliseconds(200);
     GroupController Controller(Timers, Instances, Book, Peers, Metrics, Store,
                                Calls, Settings);
-    Controller.unlisted(member("a", "small.7", 7, 0, MemberPhase::Open));
+    Begin(Controller);
     Controller.peersKnown();
     Controller.start();
     Controller.setConfiguration(std::make_shared<const Configuration>(Config));
     TimePoint End = Timers.now() + Limit;
-    runUntil(Context, [&] { return Joined || Timers.now() > End; });
-    return Joined;
+    runUntil(Context, [&] { return given(Last) || Timers.now() > End; });
+  }
+
+  bool given(OrderKind Kind) const {
+    return std::any_of(
+        Given.begin(), Given.end(),
+        [Kind](const GroupOrder &Each) { return Each.Kind == Kind; });
+  }
+
+  // Runs the duty while the unlisted head's machine answers probes with
+  // Failure; returns whether its member was ordered into another group within
+  // Limit.
+  bool reused(ResultCode Failure, Duration Limit) {
+    play(
+        [&](const Instance &To) -> Outcome<Instance> {
+          if (To.Id == InstanceId("a"))
+            return Error{Failure, "head"};
+          return To;
+        },
+        Limit, OrderKind::Join,
+        [](GroupController &Controller) {
+          Controller.unlisted(member("a", "small.7", 7, 0, MemberPhase::Open));
+        });
+    return given(OrderKind::Join);
   }
 
   asio::io_context Context;
@@ -82,6 +107,8 @@
   PeerGossip Peers;
   ServingMetrics Metrics;
   Configuration Config;
+  std::vector<GroupOrder> Given;
+  std::function<void(const GroupOrder &)> OnOrder;
 };
 
 TEST_F(GroupControllerTest, ReusesMembersOfAHeadThatIsSilentToAll) {
@@ -97,5 +124,60 @@
   EXPECT_FALSE(reused(ResultCode::ConnectFailed, seconds(2)));
 }
 
+// Incident SHORT: engines that were cut off from the platform only lost their
+// entries, and the groups that they served in were ended.
+TEST_F(GroupControllerTest, KeepsAGroupWhoseMemberLosesOnlyThePlatform) {
+  Instances.Instances.clear();
+  add(member("a", "small.7", 7, 0, MemberPhase::Open));
+  play([](const Instance &To) { return To; }, milliseconds(250),
+       OrderKind::Leave,
+       [](GroupController &Controller) {
+         Controller.unlisted(member("b", "small.7", 7, 1, MemberPhase::Ready));
+       });
+  EXPECT_FALSE(given(OrderKind::Leave));
+  EXPECT_FALSE(given(OrderKind::Close));
+}
+
+TEST_F(GroupControllerTest, EndsAGroupGracefullyWhoseMemberDoesNotReturn) {
+  Instances.Instances.clear();
+  add(member("a", "small.7", 7, 0, MemberPhase::Open));
+  play([](const Instance &To) { return To; }, seconds(4), OrderKind::Close,
+       [](GroupController &Controller) {
+         Controller.unlisted(member("b", "small.7", 7, 1, MemberPhase::Ready));
+       });
+  EXPECT_TRUE(given(OrderKind::Close));
+  EXPECT_FALSE(given(OrderKind::Leave));
+}
+
+// Incident SHORT: the report of a head that had left showed it in its group for
+// another 200 ms, and was believed for a second.
+TEST_F(GroupControllerTest, ReusesMembersAtOnceWhenTheirHeadAgreesToLeave) {
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  add(Head);
+  TimePoint LeftAt{};
+  OnOrder = [&](const GroupOrder &Order) {
+    if (Order.Kind != OrderKind::Leave || Order.To != Head.Id)
+      return;
+    LeftAt = Timers.now();
+    Instance Left = Head;
+    Left.Group.reset();
+    add(Left);
+  };
+  auto Tell = [&](const Instance &To) -> Outcome<Instance> {
+    if (To.Id == InstanceId("b"))
+      return Error{ResultCode::Timeout, "member"};
+    bool Old =
+        LeftAt == TimePoint{} || Timers.now() < LeftAt + milliseconds(200);
+    return To.Id == Head.Id && Old ? Head : To;
+  };
+  Upstream Known;
+  Known.Key = {Head.Id, 7};
+  updateUpstreams(Book, {Known});
+  avoid(Book, Known.Key, AvoidReason::Stalled, Timers.now() + seconds(30));
+  play(Tell, seconds(4), OrderKind::Join, [](GroupController &) {});
+  ASSERT_TRUE(given(OrderKind::Join));
+  EXPECT_LT(toMilliseconds(Timers.now() - LeftAt), 700);
+}
+
 } // namespace
 } // namespace samphirehill::serving
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -64,6 +64,95 @@
   EXPECT_EQ(World.Broken, std::vector<std::string>());
 }
 
+// A broken group of "large", whose head may still serve, and two spares that
+// have its weights.
+std::vector<PlannedInstance> brokenGroupWithSpares() {
+  std::vector<PlannedInstance> Known{
+      {member("a", "large.7", 7, 0, MemberPhase::Open)},
+      {member("b", "large.7", 7, 1, MemberPhase::Ready)},
+      {member("c", "large.7", 7, 2, MemberPhase::Ready)},
+      {member("d", "large.7", 7, 3, MemberPhase::Ready), Liveness::Unclear}};
+  for (const char *Name : {"e", "f"}) {
+    Instance Spare = engine(Name, "north-d0");
+    Spare.Staged = {"large"};
+    Known.push_back({Spare});
+  }
+  return Known;
+}
+
+// Incident SHORT: the spares that would have made the group whole were ordered
+// to load the other model's weights, which took 12 s.
+TEST(GroupPlanTest, KeepsWeightsOfSparesWhileTheirGroupIsBroken) {
+  GroupPlanState State;
+  std::vector<PlannedInstance> Known = brokenGroupWithSpares();
+  TimePoint Now{seconds(10)};
+  for (int Round = 0; Round < 20; ++Round, Now += Tick) {
+    for (const GroupOrder &Order :
+         planGroups(State, Known, poolShape(), false, Now))
+      EXPECT_NE(Order.Kind, OrderKind::Stage);
+  }
+}
+
+// Three engines of "large" and one of "small", while "small" serves elsewhere.
+TEST(GroupPlanTest, KeepsWeightsThroughAShortSurplus) {
+  GroupPlanState State;
+  std::vector<PlannedInstance> Known;
+  for (int Group = 1; Group <= 6; ++Group) {
+    std::string Name = "small." + std::to_string(Group);
+    for (int Rank = 0; Rank < 2; ++Rank) {
+      Instance Made =
+          member(Name + std::to_string(Rank), Name, Group, Rank,
+                 Rank == 0 ? MemberPhase::Open : MemberPhase::Ready);
+      Made.Domain = "north-d1";
+      Known.push_back({Made});
+    }
+  }
+  for (const char *Name : {"a", "b", "c", "d"}) {
+    Instance Free = engine(Name, "north-d0");
+    Free.Staged = {*Name == 'd' ? "small" : "large"};
+    Known.push_back({Free});
+  }
+  TimePoint Now{seconds(10)};
+  auto Loads = [&] {
+    std::vector<GroupOrder> Orders =
+        planGroups(State, Known, poolShape(), false, Now);
+    return std::count_if(
+        Orders.begin(), Orders.end(),
+        [](const GroupOrder &Each) { return Each.Kind == OrderKind::Stage; });
+  };
+  EXPECT_EQ(Loads(), 0);
+  Now += milliseconds(1'500);
+  EXPECT_EQ(Loads(), 0);
+  Now += seconds(1);
+  EXPECT_EQ(Loads(), 1);
+}
+
+TEST(GroupPlanTest, TellsHowTheGroupsOfAModelStand) {
+  GroupPlanState State;
+  planGroups(State, brokenGroupWithSpares(), poolShape(), false,
+             TimePoint{seconds(10)});
+  ModelSummary Large = State.Models["large"];
+  EXPECT_EQ(Large.Serving, 0);
+  EXPECT_EQ(Large.Stranded, 3);
+  EXPECT_EQ(Large.Free, 2);
+}
+
+// Incident SHORT: a new holder of the duty left 34 engines idle for 15 s, as it
+// had never seen the heads of the groups that they had survived.
+TEST(GroupPlanTest, ReleasesSurvivorsBeforeTheDutyChangesHands) {
+  GroupWorld World(1, 8);
+  GroupPlanState State;
+  run(World, State, 110, true);
+  ASSERT_EQ(World.openGroups("large"), 1);
+  World.kill(*World.someFollower("large"));
+  run(World, State, 60);
+  GroupPlanState Next;
+  Next.NextEpoch = Next.FirstEpoch = 100'000;
+  World.plan(Next);
+  EXPECT_EQ(Next.Models["large"].Stranded, 0);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
 // Trial on the bench: entries of the list that were older than they looked.
 TEST(GroupPlanTest, AsksInstancesBeforeItUsesThemElsewhere) {
   GroupWorld World(1, 4);
