Keep the weights that make a broken group whole again

What callers saw: requests of the model with groups of 8 were late or refused for half a minute after each few lost engines.

Cause: loads were decided on what stood at one moment. In the round in which a group broke, its engines were bound to it, so its domain seemed to want no group of that model: the spares that hold its weights, and its own head as soon as it had left, were ordered to load the other model's, 12 to 16 s, and evicted what 7 survivors were waiting for. Spares were divided by the models' shares over all domains, so a domain kept spares of a model that it has no group of. Engines with the weights of a whole group were kept as spares or loaded others. Full domains counted as negative room.

Now engines of a broken group count as room that is free soon; spares go to the models of their own domain by the engines that a loss leaves idle; groups that need no load come first; weights are given up only after their surplus has lasted 2 s.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace samphirehill::serving {
@@ -76,6 +77,9 @@
   // above the time in which the entry of a living head is back after an outage
   // (2 s), and in which most late orders have taken effect.
   Duration HeadlessWait = seconds(8);
+  // An engine gives up its weights for others once its domain has had too many
+  // of them for this long: a load takes longer than most engines are missed.
+  Duration SurplusWait = seconds(2);
 };
 
 // A group whose members have been ordered to join.
@@ -122,7 +126,9 @@
   std::map<std::int64_t, TimePoint> HeadlessSince;
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
-  std::vector<TimePoint> LoadStarts;          // of the last second
+  std::vector<TimePoint> LoadStarts; // of the last second
+  // By domain and model: since when more engines have the weights than needed.
+  std::map<std::pair<std::string, std::string>, TimePoint> SurplusSince;
   std::map<std::string, ModelSummary> Models; // after the last planning
 };
 
--- a/include/samphirehill/Serving/GroupQuota.h
+++ b/include/samphirehill/Serving/GroupQuota.h
@@ -18,6 +18,7 @@
   int Groups = 0;       // serving or forming
   int WantedGroups = 0; // with those that serve
   int Staged = 0;       // engines with the weights, or loading them
+  int Available = 0;    // engines with the weights that no group holds
   int WantedStaged = 0;
 };
 
@@ -34,10 +35,12 @@
 using EngineDomains = std::map<std::string, EngineDomain>; // by name
 using ModelEngines = std::map<std::string, double>;        // engines by model
 
-// Gives the domains whole groups by the models' shares over all domains: one
-// group at a time, of the model that has the fewest engines for its share, in
-// the zone that has the fewest groups of it. Grouped counts the engines that
-// serve or form; SparePart of each domain is kept free.
+// Gives the domains whole groups: first those that need no load, as engines
+// with the weights for a whole group serve best in it; then by the models'
+// shares over all domains, one group at a time, of the model that has the
+// fewest engines for its share, in the zone that has the fewest groups of it.
+// Grouped counts the engines that serve or form; of the engines that would have
+// to load, SparePart of each domain is kept free.
 void planQuotas(EngineDomains &Domains, const ServiceShape &Service,
                 const ModelEngines &Grouped, double SparePart);
 
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -42,6 +42,7 @@
     planQuotas(Domains, Service, GroupedEngines, State.Settings.SparePart);
     if (FirstStart && settling())
       return {};
+    noteSurplus();
     for (auto &[Name, Each] : Domains)
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
@@ -72,6 +73,22 @@
            !Each.ZoneOut;
   }
 
+  // Notes since when each domain has more engines with a model's weights than
+  // it is to have.
+  void noteSurplus() {
+    std::map<std::pair<std::string, std::string>, TimePoint> Since;
+    for (const auto &[Name, Domain] : Domains) {
+      for (const auto &[Model, Each] : Domain.Models) {
+        if (Each.Staged <= Each.WantedStaged)
+          continue;
+        auto Known = State.SurplusSince.find({Name, Model});
+        Since[{Name, Model}] =
+            Known == State.SurplusSince.end() ? Now : Known->second;
+      }
+    }
+    State.SurplusSince = std::move(Since);
+  }
+
   bool settling() {
     if (State.KnownEngines != Engines.size()) {
       State.KnownEngines = Engines.size();
@@ -195,7 +212,7 @@
   // head may still serve.
   void bindStranded(const SeenGroup &Group) {
     for (const auto &[Rank, Each] : Group.ByRank) {
-      Bound.insert(Each->Listed.Id);
+      Stranded.insert(Each->Listed.Id);
       Summaries[Group.Model].Stranded += usable(*Each);
     }
   }
@@ -415,9 +432,14 @@
       Own.Usable.push_back(&Each);
       for (const std::string &Model : stagedOrLoading(Each))
         ++Own.Models[Model].Staged;
+      bool Available = !Bound.contains(Each.Listed.Id) && !loading(Each);
+      for (const std::string &Model : Each.Listed.Staged)
+        Own.Models[Model].Available += Available;
+      // Those of a broken group are free within seconds: the domain goes on to
+      // need the spares that make the group whole again.
       if (Bound.contains(Each.Listed.Id))
         ++Own.InGroups;
-      else
+      else if (!Stranded.contains(Each.Listed.Id))
         Own.Free.push_back(&Each);
     }
   }
@@ -573,8 +595,10 @@
   const ModelShape *wantedStage(const EngineDomain &Own,
                                 const PlannedInstance &Each) {
     for (const std::string &Old : Each.Listed.Staged) {
+      auto Since = State.SurplusSince.find({Each.Listed.Domain, Old});
       auto Has = Own.Models.find(Old);
-      if (Has != Own.Models.end() &&
+      if (Since == State.SurplusSince.end() ||
+          Now - Since->second < State.Settings.SurplusWait ||
           Has->second.Staged <= Has->second.WantedStaged)
         return nullptr;
     }
@@ -607,7 +631,8 @@
   EngineDomains Domains;
   ModelEngines GroupedEngines;
   std::map<std::string, ModelSummary> Summaries; // by model
-  std::set<InstanceId> Bound;
+  std::set<InstanceId> Bound;                    // to groups that serve or form
+  std::set<InstanceId> Stranded; // in broken groups whose head may serve
   std::vector<GroupOrder> Orders;
 };
 
--- a/lib/Serving/GroupQuota.cpp
+++ b/lib/Serving/GroupQuota.cpp
@@ -12,7 +12,7 @@
                                         ModelEngines Assigned) {
   int Room = 0;
   for (const auto &[Name, Each] : Domains)
-    Room += Each.Room - Each.Spares;
+    Room += std::max(Each.Room - Each.Spares, 0);
   std::map<std::string, int> Targets;
   bool Added = true;
   while (Added) {
@@ -37,21 +37,32 @@
   return Model.GroupSize <= Own.Room - (First ? 0 : Own.Spares);
 }
 
-// Gives one more group of Model to the zone that has the fewest of them,
-// there to the domain with the most room: a zone may go out of service.
+// Whether engines that no group holds have the weights for one more group.
+bool needsNoLoad(const EngineDomain &Own, const ModelShape &Model) {
+  const DomainModel &Has = Own.Models.at(Model.Name);
+  int Added = Has.WantedGroups - Has.Groups + 1;
+  return Has.Available >= Added * Model.GroupSize &&
+         Model.GroupSize <= Own.Room;
+}
+
+// Gives one more group of Model to a domain for which May holds: to the zone
+// that has the fewest of them, there to the domain with the most room, as a
+// zone may go out of service.
 bool assignOne(EngineDomains &Domains, const ModelShape &Model,
-               ModelEngines &Assigned) {
+               ModelEngines &Assigned,
+               bool (*May)(const EngineDomain &, const ModelShape &)) {
   std::map<ZoneId, int> InZone;
   for (const auto &[Name, Each] : Domains) {
     auto Found = Each.Models.find(Model.Name);
     if (Found != Each.Models.end())
       InZone[Each.Zone] += Found->second.WantedGroups;
   }
+  auto Rank = [&](const EngineDomain &Each) {
+    return std::pair(InZone[Each.Zone], -Each.Room);
+  };
   EngineDomain *Best = nullptr;
   for (auto &[Name, Each] : Domains) {
-    if (fits(Each, Model) &&
-        (!Best || std::pair(InZone[Each.Zone], -Each.Room) <
-                      std::pair(InZone[Best->Zone], -Best->Room)))
+    if (May(Each, Model) && (!Best || Rank(Each) < Rank(*Best)))
       Best = &Each;
   }
   if (!Best)
@@ -74,7 +85,29 @@
   return Order;
 }
 
-// Divides the engines beyond the groups among the models by their shares.
+// Returns the model that the next spare of a domain is to stand in for. A spare
+// helps only in its own domain, so it goes where a loss is likeliest and leaves
+// most engines idle: to a model with many engines in groups, and large ones.
+const ModelShape *modelOfNextSpare(const EngineDomain &Own,
+                                   const ServiceShape &Service,
+                                   const std::map<std::string, int> &Spares,
+                                   const ModelEngines &Staged) {
+  const ModelShape *Best = nullptr;
+  double Most = 0;
+  for (const ModelShape *Model : modelsBySize(Service)) {
+    int Grouped = Own.Models.at(Model->Name).WantedGroups * Model->GroupSize;
+    auto Found = Spares.find(Model->Name);
+    int Has = Found == Spares.end() ? 0 : Found->second;
+    double Idle = static_cast<double>(Grouped * Model->GroupSize) / (Has + 1);
+    if (Idle <= Most)
+      continue;
+    Best = Model;
+    Most = Idle;
+  }
+  return Best ? Best : modelsByNeed(Service, Staged).front();
+}
+
+// Divides the engines beyond the groups of each domain among the models.
 void planSpares(EngineDomains &Domains, const ServiceShape &Service) {
   ModelEngines Staged;
   for (auto &[Name, Each] : Domains) {
@@ -85,8 +118,10 @@
     }
   }
   for (auto &[Name, Each] : Domains) {
+    std::map<std::string, int> Spares;
     for (int Left = Each.Room; Left > 0; --Left) {
-      const ModelShape *Model = modelsByNeed(Service, Staged).front();
+      const ModelShape *Model = modelOfNextSpare(Each, Service, Spares, Staged);
+      ++Spares[Model->Name];
       ++Each.Models[Model->Name].WantedStaged;
       ++Staged[Model->Name];
     }
@@ -107,14 +142,19 @@
       Own.WantedGroups = Own.Groups;
     }
   }
+  for (const ModelShape *Model : modelsByNeed(Service, Assigned)) {
+    while (assignOne(Domains, *Model, Assigned, needsNoLoad)) {
+    }
+  }
   std::map<std::string, int> Targets = groupTargets(Domains, Service, Assigned);
   for (const ModelShape *Model : modelsBySize(Service)) {
-    while (Targets[Model->Name]-- > 0 && assignOne(Domains, *Model, Assigned)) {
+    while (Targets[Model->Name]-- > 0 &&
+           assignOne(Domains, *Model, Assigned, fits)) {
     }
   }
   // What is left over, where the domains are too small for the targets.
   for (const ModelShape *Model : modelsByNeed(Service, Assigned)) {
-    while (assignOne(Domains, *Model, Assigned)) {
+    while (assignOne(Domains, *Model, Assigned, fits)) {
     }
   }
   planSpares(Domains, Service);
--- a/test/Serving/GroupQuotaTest.cpp
+++ b/test/Serving/GroupQuotaTest.cpp
@@ -29,6 +29,7 @@
     if (Model.empty())
       return;
     Made.Models[Model].Staged = Count;
+    Made.Models[Model].Available = Count - InGroups;
     Made.Models[Model].Groups = Groups;
     Grouped[Model] += InGroups;
   }
