Believe no report of the time before an order

What callers saw: each repair of a group took 1.2 s longer than it must.

Cause: an engine's report is up to report_lag_ms old. The holder asked a head 80 ms after it had agreed to leave, was told the old group, took that for confirmed for a second and left the members alone meanwhile; the list had shown the head free all the while (trial with a line for each report: order at 4.42 s, report of 4.52 s with the old group, next one at 5.62 s).

Now a report counts as of its time less the lag, for orders and for changes of the list; none is asked for before that; and a head that has agreed to leave that very group, under a fence above all earlier orders, has left, whatever is reported. A first try took any accepted leave for it: the property test found an engine that had agreed to leave one group and headed another (TWO), so the epoch of the leave is kept.

The test failed before with 1,090 ms against 700 ms.

--- a/include/samphirehill/Serving/Configuration.h
+++ b/include/samphirehill/Serving/Configuration.h
@@ -71,6 +71,7 @@
   double LoadsPerSecond = 1;
   int LoadsAtOnce = 1;
   Duration GroupOpening{}; // from the order to open until the head serves
+  Duration ReportLag{};    // age of the state that an engine reports
   std::vector<ModelShape> Models;
 
   bool operator==(const EngineShape &) const = default;
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -101,6 +101,7 @@
   struct Probe {
     TimePoint AskedAt{};
     TimePoint AnsweredAt{};
+    TimePoint ToldAsOf{}; // the last answer tells no later state
     bool Asking = false;
     bool Silent = false;  // the last question went unanswered
     bool Refused = false; // it was refused by the instance's machine
@@ -112,6 +113,7 @@
     // The fence of the order that it last accepted, and its life then.
     std::int64_t AcceptedFence = 0;
     std::int64_t FencedLife = 0;
+    std::int64_t LeftEpoch = 0; // if that order was a leave
   };
   struct Unlisted {
     Instance Last;
@@ -128,11 +130,13 @@
   void probeSuspects();
   void probeMembers(const std::set<UpstreamKey> &Stalled);
   void probe(const Instance &Asked, bool IsUnlisted);
+  // Returns how old the state is that Asked reports, at most.
+  Duration reportLag(const Instance &Asked) const;
   void give(const GroupOrder &Order);
   std::vector<PlannedInstance> planned(const ServiceId &Service) const;
   void confirm(const InstanceId &Id);
-  // Returns the fence of the last order that Listed accepted in this life.
-  std::int64_t acceptedFence(const Instance &Listed) const;
+  // Fills in what Each is known to have accepted in this life.
+  void noteAccepted(PlannedInstance &Each) const;
   bool zoneInReach(const ZoneId &Zone) const;
   Liveness livenessOf(const InstanceId &Id) const;
   Liveness livenessOfUnlisted(const InstanceId &Id, const Unlisted &Held) const;
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -36,6 +36,7 @@
   // The highest fence of an order that it is known to have accepted. It refuses
   // orders of lower ones, however late they come.
   std::int64_t AcceptedFence = 0;
+  std::int64_t LeftEpoch = 0; // of the group that it last agreed to leave
 };
 
 enum class OrderKind {
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -197,10 +197,10 @@
     PlannedInstance Each{Record.Listed, livenessOf(Id),
                          Instances.ZonesOut.contains(Record.Listed.Zone),
                          Now < Record.ColdUntil};
-    Each.AcceptedFence = acceptedFence(Record.Listed);
+    noteAccepted(Each);
     auto Found = Probes.find(Id);
     if (Found != Probes.end() && Found->second.Told && !Found->second.Silent &&
-        Found->second.AnsweredAt >= Record.ChangedAt &&
+        Found->second.ToldAsOf >= Record.ChangedAt &&
         Now - Found->second.AnsweredAt <= Settings.ConfirmedMaxAge) {
       Each.Confirmed = true;
       Each.Listed.Group = Found->second.Told->Group;
@@ -214,17 +214,19 @@
     PlannedInstance Unlisted{Held.Last, livenessOfUnlisted(Id, Held), false,
                              false};
     Unlisted.Listed.Draining = true; // takes part in no further group
-    Unlisted.AcceptedFence = acceptedFence(Held.Last);
+    noteAccepted(Unlisted);
     Known.push_back(std::move(Unlisted));
   }
   return Known;
 }
 
-std::int64_t GroupController::acceptedFence(const Instance &Listed) const {
-  auto Found = Probes.find(Listed.Id);
-  bool SameLife = Found != Probes.end() &&
-                  Found->second.FencedLife == Listed.BornMilliseconds;
-  return SameLife ? Found->second.AcceptedFence : 0;
+void GroupController::noteAccepted(PlannedInstance &Each) const {
+  auto Found = Probes.find(Each.Listed.Id);
+  if (Found == Probes.end() ||
+      Found->second.FencedLife != Each.Listed.BornMilliseconds)
+    return;
+  Each.AcceptedFence = Found->second.AcceptedFence;
+  Each.LeftEpoch = Found->second.LeftEpoch;
 }
 
 void GroupController::plan() {
@@ -298,8 +300,10 @@
       [this, Order, Term, Life](const Outcome<bool> &Answer) {
         const Error *Failed = errorOf(Answer);
         if (!Failed && std::get<0>(Answer)) {
-          Probes[Order.To].AcceptedFence = Order.Fence;
-          Probes[Order.To].FencedLife = Life;
+          Probe &To = Probes[Order.To];
+          To.AcceptedFence = Order.Fence;
+          To.FencedLife = Life;
+          To.LeftEpoch = Order.Kind == OrderKind::Leave ? Order.Epoch : 0;
           return;
         }
         spdlog::warn("event=order_not_taken kind={} instance={} epoch={} "
@@ -329,10 +333,13 @@
 void GroupController::confirm(const InstanceId &Id) {
   auto Found = Instances.Instances.find(Id);
   auto Unlisted = Missing.find(Id);
-  if (Found != Instances.Instances.end())
-    probe(Found->second.Listed, false);
-  else if (Unlisted != Missing.end())
-    probe(Unlisted->second.Last, true);
+  bool Listed = Found != Instances.Instances.end();
+  if (!Listed && Unlisted == Missing.end())
+    return;
+  const Instance &Asked = Listed ? Found->second.Listed : Unlisted->second.Last;
+  // Until then it may report its state before the order.
+  if (Timers.now() - Probes[Id].OrderedAt > reportLag(Asked))
+    probe(Asked, !Listed);
 }
 
 void GroupController::probeSuspects() {
@@ -369,6 +376,15 @@
   }
 }
 
+Duration GroupController::reportLag(const Instance &Asked) const {
+  if (!Config)
+    return {};
+  auto Service = Config->Services.find(Asked.Service);
+  return Service == Config->Services.end() || !Service->second.Engine
+             ? Duration::zero()
+             : Service->second.Engine->ReportLag;
+}
+
 void GroupController::probe(const Instance &Asked, bool IsUnlisted) {
   Probe &Own = Probes[Asked.Id];
   TimePoint Now = Timers.now();
@@ -378,7 +394,9 @@
   Own.Asking = true;
   Own.AskedAt = Now;
   Metrics.count("probes", "reason", IsUnlisted ? "unlisted" : "suspect");
-  Calls.Report(Asked, [this, Id = Asked.Id](const Outcome<Instance> &Answer) {
+  Duration Lag = reportLag(Asked);
+  Calls.Report(Asked, [this, Lag,
+                       Id = Asked.Id](const Outcome<Instance> &Answer) {
     Probe &Asked = Probes[Id];
     Asked.Asking = false;
     bool Silent = errorOf(Answer) != nullptr;
@@ -392,7 +410,8 @@
     Asked.Ended = Silent && errorOf(Answer)->Code == ResultCode::NotFound;
     if (!Silent) {
       Asked.AnsweredAt = Timers.now();
-      if (Asked.AskedAt > Asked.OrderedAt)
+      Asked.ToldAsOf = Asked.AskedAt - Lag;
+      if (Asked.ToldAsOf > Asked.OrderedAt)
         Asked.Told = std::get<0>(Answer);
     }
     auto Held = Missing.find(Id);
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -248,7 +248,8 @@
     auto Known = State.HeadOf.find(Key.second);
     if (Known != State.HeadOf.end()) {
       const PlannedInstance *Was = find(Known->second);
-      if (!Was || Was->State == Liveness::Gone)
+      bool Left = Was && Was->LeftEpoch == Key.second && fenced(*Was);
+      if (!Was || Was->State == Liveness::Gone || Left)
         return false;
       if (Was->State == Liveness::Alive && Was->Confirmed)
         return mayReturn(Key, Group, *Was);
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -152,6 +152,7 @@
 // Incident SHORT: the report of a head that had left showed it in its group for
 // another 200 ms, and was believed for a second.
 TEST_F(GroupControllerTest, ReusesMembersAtOnceWhenTheirHeadAgreesToLeave) {
+  Config.Services[PoolService].Engine->ReportLag = milliseconds(200);
   Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
   add(Head);
   TimePoint LeftAt{};
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -41,6 +41,7 @@
       Seen.State = Liveness::Unclear;
     }
     Seen.AcceptedFence = Each.AnsweredFence;
+    Seen.LeftEpoch = Each.AnsweredLeave;
     Known.push_back(std::move(Seen));
   }
   return Known;
@@ -53,10 +54,16 @@
     if (OrderDelay > Duration::zero() && Order.Kind != OrderKind::Check)
       Pending.push_back({Now + OrderDelay, Order});
     else if (carryOut(Order))
-      Engines.at(Order.To).AnsweredFence = Order.Fence;
+      noteAnswered(Order);
   }
 }
 
+void GroupWorld::noteAnswered(const GroupOrder &Order) {
+  Engine &To = Engines.at(Order.To);
+  To.AnsweredFence = Order.Fence;
+  To.AnsweredLeave = Order.Kind == OrderKind::Leave ? Order.Epoch : 0;
+}
+
 void GroupWorld::advance(Duration Elapsed) {
   Now += Elapsed;
   std::vector<Late> Due;
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -59,6 +59,7 @@
     std::int64_t HighestEpoch = 0;
     std::int64_t HighestFence = 0;
     std::int64_t AnsweredFence = 0; // of an order whose answer came
+    std::int64_t AnsweredLeave = 0; // its epoch, if it was a leave
   };
   struct Late {
     TimePoint At{};
@@ -68,6 +69,7 @@
   std::vector<PlannedInstance> planned();
   // Returns whether the engine accepted the order.
   bool carryOut(const GroupOrder &Order);
+  void noteAnswered(const GroupOrder &Order);
   void join(Engine &To, const GroupOrder &Order);
   const Engine *headOf(const Membership &Place) const;
 
