Release the survivors of a group before the duty changes hands

Cause: members of a group that has ended go on reporting it until they join another. A new holder has never seen its head and leaves them alone for 8 to 16 s. Now the holder that ends a group tells its free members to leave. What each last belonged to is remembered, as it joins that model fastest.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -125,6 +125,7 @@
   std::map<std::string, TimePoint> OrderedAt; // by order and instance
   std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last seen
   std::map<std::int64_t, TimePoint> HeadlessSince;
+  std::map<InstanceId, std::string> LastModel; // of the last group, as seen
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
   std::vector<TimePoint> LoadStarts; // of the last second
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -47,6 +47,8 @@
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
       stageWeights(Each);
+    for (const auto &[Name, Each] : Domains)
+      releaseSurvivors(Each);
     summarize();
     return std::move(Orders);
   }
@@ -116,6 +118,8 @@
                            return !Member || !usable(*Member);
                          });
     });
+    std::erase_if(State.LastModel,
+                  [&](const auto &Entry) { return !find(Entry.first); });
     std::erase_if(State.LoadStarts,
                   [&](TimePoint At) { return Now - At >= seconds(1); });
     std::erase_if(State.OrderedAt, [&](const auto &Entry) {
@@ -166,6 +170,7 @@
       if (!Each.Listed.Group)
         continue;
       const Membership &Place = *Each.Listed.Group;
+      State.LastModel[Each.Listed.Id] = modelOfGroup(Place.Group);
       SeenGroup &Group = Groups[{Place.Group, Place.Epoch}];
       Group.Model = modelOfGroup(Place.Group);
       Group.ByRank[Place.Rank] = &Each;
@@ -520,11 +525,11 @@
 
   // Engines that were in a group of the model join it fastest; a cold one is
   // not made the head.
-  static void sortCandidates(std::vector<const PlannedInstance *> &Candidates,
-                             const ModelShape &Model) {
+  void sortCandidates(std::vector<const PlannedInstance *> &Candidates,
+                      const ModelShape &Model) const {
     auto Rank = [&](const PlannedInstance *Each) {
-      bool Was = Each->Listed.Group &&
-                 modelOfGroup(Each->Listed.Group->Group) == Model.Name;
+      auto Last = State.LastModel.find(Each->Listed.Id);
+      bool Was = Last != State.LastModel.end() && Last->second == Model.Name;
       bool Slow = Each->Listed.Pace > 1.5;
       return std::tuple(Slow, !staged(*Each, Model.Name), Each->Cold, !Was);
     };
@@ -593,6 +598,19 @@
     }
   }
 
+  // The free members of a group that has ended leave it, so that another holder
+  // of the duty need not wait for a head that it has never seen.
+  void releaseSurvivors(const EngineDomain &Own) {
+    for (const PlannedInstance *Each : Own.Free) {
+      if (!Each->Listed.Group)
+        continue;
+      const Membership &Place = *Each->Listed.Group;
+      if (due("leave " + Each->Listed.Id.str() + Place.Group))
+        order({OrderKind::Leave, Each->Listed.Id, Place.Group, Place.Epoch,
+               modelOfGroup(Place.Group)});
+    }
+  }
+
   const ModelShape *wantedStage(const EngineDomain &Own,
                                 const PlannedInstance &Each) {
     for (const std::string &Old : Each.Listed.Staged) {
