Heed engines that say they leave, and those that ask for a pause

What callers get: an engine that goes is not chosen after its first answer that says so, seconds before the list tells; one that is overloaded gets its pause and the request goes to one that has room; where all have asked for a pause, the caller is refused at once with the time at which the first ends.

Both hold for one life of an instance (id and birth), on a clock that counts suspension, and are judged where a request is placed and again when its bytes are about to be written (StillAllowed). Read from answers to requests, reports and orders, but not from 421, which another instance may have sent. A leaving instance counts as draining for this entry whatever the list says, so its group is closed gracefully and replaced. A 503 without the promise still counts as one that may have run. Values that can't be read are counted and passed over.

--- a/include/samphirehill/Net/TimerService.h
+++ b/include/samphirehill/Net/TimerService.h
@@ -37,6 +37,9 @@
   explicit TimerService(asio::io_context &Context) : Context(Context) {}
 
   TimePoint now() const;
+  // Returns the time of a clock that also counts the time for which the machine
+  // was suspended, which that of now() doesn't. Compare it with its own kind.
+  TimePoint nowWithSuspension() const;
   WallTime wallNow() const;
 
   // Calls Function once after Delay (at least 0).
--- a/include/samphirehill/Serving/Fleet.h
+++ b/include/samphirehill/Serving/Fleet.h
@@ -91,7 +91,8 @@
   SocketAddress Address;
   ZoneId Zone;
   int Slots = 1;
-  TimePoint ColdUntil{}; // of the instance that takes the requests
+  std::int64_t BornMilliseconds = 0; // of the instance that takes the requests
+  TimePoint ColdUntil{};             // likewise
   std::vector<InstanceId> Members;
   double Pace = 1.0; // factor on its times
 
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -8,8 +8,10 @@
 #include "samphirehill/Serving/DutyLease.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/GroupPlan.h"
+#include "samphirehill/Serving/InstanceWords.h"
 #include "samphirehill/Serving/ObjectStore.h"
 #include "samphirehill/Serving/PeerGossip.h"
+#include "samphirehill/Serving/RequestWire.h"
 #include "samphirehill/Serving/ServingMetrics.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
@@ -21,6 +23,10 @@
 
 namespace samphirehill::serving {
 
+// Called with what an instance says of itself in the answer to such a call.
+using InstanceHeard = std::shared_ptr<
+    std::function<void(const InstanceLife &From, const AnswerFacts &Answer)>>;
+
 // Calls to instances; the adapter supplies them.
 struct InstanceCalls {
   // Gives Order if Allowed holds when it is sent. The value tells whether it
@@ -35,6 +41,7 @@
   std::function<void(const Instance &To,
                      std::function<void(Outcome<Instance>)> Done)>
       Report;
+  InstanceHeard Heard; // null: nobody is told
 };
 
 struct GroupControllerSettings {
@@ -123,7 +130,6 @@
     TimePoint Since{};
   };
 
-  TimePoint leaseNow() const;
   void tick();
   void stepLease();
   void plan();
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -57,6 +57,9 @@
   CrashRecord &Crashes;
   ServingMetrics &Metrics;
   RequestWire Wire;
+  // Called with what an upstream's instance says of itself.
+  std::function<void(const InstanceLife &From, const AnswerFacts &Answer)>
+      Heard;
 };
 
 class RequestFlow;
--- a/include/samphirehill/Serving/RequestWire.h
+++ b/include/samphirehill/Serving/RequestWire.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace samphirehill::serving {
 
@@ -46,6 +47,11 @@
   bool Sealed = false; // bears the upstream's proof of origin
   bool NotRun = false; // states that the request wasn't run
   std::optional<Duration> ColdFor;
+  bool Leaving = false; // the instance takes no further work
+  // The instance wants no requests from this process for so long.
+  std::optional<Duration> QuietFor;
+  // Names of facts whose value could not be read and was passed over.
+  std::vector<std::string> Unreadable;
 
   bool operator==(const AnswerFacts &) const = default;
 };
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -23,6 +23,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -119,6 +120,8 @@
   // leaving instance must get no new work in time.
   Duration longestListAge() const { return Settings.Drain * 4 / 5; }
   void takeInstance(const ListedInstance &Changed);
+  // Takes what an instance says of itself in an answer.
+  void heardFrom(const InstanceLife &From, const AnswerFacts &Answer);
   // Takes an instance out that left the list; at once unless its group is seen
   // to serve on.
   void unlist(const InstanceId &Id);
@@ -151,6 +154,7 @@
   bool PeersListed = false;
   TimePoint AskedForNewsAt{};
   Incarnation Life = 0;
+  std::minstd_rand Random{std::random_device{}()};
   std::int64_t OwnRevision = 0; // of the own entry in the platform's store
   TimerSubscription Tick;
   TimerSubscription PeerRetry;
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -6,6 +6,7 @@
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Serving/Fleet.h"
+#include "samphirehill/Serving/InstanceWords.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -109,6 +110,7 @@
   // Uniform in [0, 1): chooses among the upstreams that are expected to be
   // equally good once the other entries have sent what they send meanwhile.
   double Draw = 0;
+  TimePoint NowWithSuspension{}; // of the clock of InstanceWords
 };
 
 // Returns the expected time to the first event of a request with PromptTokens
@@ -121,19 +123,32 @@
 Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
                      double Pace);
 
-enum class NoPlace { Absent, Full };
+enum class NoPlace {
+  Absent,
+  Full,
+  Quiet, // all that could serve have asked for a pause
+};
 
 struct Placement {
   std::optional<UpstreamKey> Chosen;
   NoPlace Reason = NoPlace::Absent; // if nothing is chosen
   int Candidates = 0;
+  TimePoint QuietUntil{}; // if all are quiet: when the first pause ends
 };
 
 struct UpstreamBook {
   PlacementLimits Limits;
   std::map<UpstreamKey, UpstreamState> Upstreams;
+  InstanceWords Words;
 };
 
+// Returns the life of the instance that takes Of's requests.
+InstanceLife lifeOf(const Upstream &Of);
+
+// Returns whether a request that was placed at Key may still be sent there.
+bool maySend(const UpstreamBook &Book, const UpstreamKey &Key,
+             TimePoint NowWithSuspension);
+
 // Takes the usable upstreams. State of those that go on existing is kept; the
 // others are forgotten.
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable);
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -37,8 +37,9 @@
                      Duration TimeLeft);
 
 // Returns when a caller that is refused for Reason should come back: when a
-// place is likely, and early enough to be served in TimeLeft.
-Duration retryAfter(NoPlace Reason, Duration TimeLeft);
+// place is likely, and early enough to be served in TimeLeft; where all
+// upstreams are quiet, when the first pause ends, in QuietLeft.
+Duration retryAfter(NoPlace Reason, Duration TimeLeft, Duration QuietLeft);
 
 // How often places of one kind are given out, as a mean that forgets.
 struct PlaceRate {
--- a/lib/Net/TimerService.cpp
+++ b/lib/Net/TimerService.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <ctime>
 
 namespace samphirehill {
 namespace {
@@ -39,6 +40,14 @@
       std::chrono::steady_clock::now());
 }
 
+TimePoint TimerService::nowWithSuspension() const {
+  timespec Read{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Read);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Read.tv_sec) +
+      std::chrono::nanoseconds(Read.tv_nsec)));
+}
+
 WallTime TimerService::wallNow() const {
   return std::chrono::time_point_cast<Duration>(
       std::chrono::system_clock::now());
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -1,7 +1,6 @@
 #include "samphirehill/Serving/GroupController.h"
 
 #include <algorithm>
-#include <ctime>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -64,17 +63,10 @@
   changed();
 }
 
-// The steady clock doesn't count time for which the machine was suspended.
-TimePoint GroupController::leaseNow() const {
-  timespec Read{};
-  ::clock_gettime(CLOCK_BOOTTIME, &Read);
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(Read.tv_sec) +
-      std::chrono::nanoseconds(Read.tv_nsec)));
+bool GroupController::holds() const {
+  return holdsDuty(Lease, Timers.nowWithSuspension());
 }
 
-bool GroupController::holds() const { return holdsDuty(Lease, leaseNow()); }
-
 void GroupController::tick() {
   if (Stopping)
     return;
@@ -93,7 +85,7 @@
 }
 
 void GroupController::stepLease() {
-  TimePoint Begun = leaseNow();
+  TimePoint Begun = Timers.nowWithSuspension();
   if (!PeersKnown && Timers.now() - StartedAt < Settings.PeersWait)
     return;
   bool First = Peers.mayRelay();
@@ -114,14 +106,14 @@
   if (Step.Call == DutyCall::Read)
     Store.Read(DutyKind, DutyName,
                [this](const Outcome<std::optional<StoredObject>> &Answer) {
-                 dutyRead(Lease, Answer, leaseNow());
+                 dutyRead(Lease, Answer, Timers.nowWithSuspension());
                  if (!errorOf(Answer) && !Stopping)
                    stepLease();
                });
   if (Step.Call == DutyCall::Write)
     Store.Write(DutyKind, Step.Object,
                 [this, Begun](const Outcome<StoredObject> &Answer) {
-                  dutyWritten(Lease, Answer, Begun, leaseNow());
+                  dutyWritten(Lease, Answer, Begun, Timers.nowWithSuspension());
                   if (!Held && holds()) {
                     Plans.clear();
                     changed();
@@ -131,7 +123,8 @@
 
 void GroupController::heard(const EntryReport &Report) {
   if (Report.DutyTerm > 0)
-    dutyHeard(Lease, Report.DutyTerm, Report.DutyRenewal, leaseNow());
+    dutyHeard(Lease, Report.DutyTerm, Report.DutyRenewal,
+              Timers.nowWithSuspension());
 }
 
 void GroupController::unlisted(const Instance &Last) {
@@ -282,12 +275,10 @@
                  "stranded={} free={} loading={}",
                  Model, Each.Serving, Each.Forming, Each.Wanted, Each.Stranded,
                  Each.Free, Each.Loading);
-    auto Tell = [&](std::string_view State, int Value) {
-      Metrics.set("model_groups", {{"model", Model}, {"state", State}}, Value);
-    };
-    Tell("serving", Each.Serving);
-    Tell("forming", Each.Forming);
-    Tell("wanted", Each.Wanted);
+    const char *Name = "model_groups";
+    Metrics.set(Name, {{"model", Model}, {"state", "serving"}}, Each.Serving);
+    Metrics.set(Name, {{"model", Model}, {"state", "forming"}}, Each.Forming);
+    Metrics.set(Name, {{"model", Model}, {"state", "wanted"}}, Each.Wanted);
     Metrics.set("stranded_engines", {{"model", Model}}, Each.Stranded);
   }
 }
@@ -408,6 +399,9 @@
 void GroupController::probe(const Instance &Asked, bool IsUnlisted) {
   Probe &Own = Probes[Asked.Id];
   TimePoint Now = Timers.now();
+  if (quietUntil(Book.Words, {Asked.Id, Asked.BornMilliseconds}) >
+      Timers.nowWithSuspension())
+    return;
   if (Own.Asking ||
       (Own.AskedAt != TimePoint{} && Now - Own.AskedAt < Settings.ProbeRepeat))
     return;
@@ -443,7 +437,8 @@
 
 void GroupController::stop(std::function<void()> Done) {
   Stopping = true;
-  std::optional<StoredObject> Object = giveBackDuty(Lease, leaseNow());
+  std::optional<StoredObject> Object =
+      giveBackDuty(Lease, Timers.nowWithSuspension());
   if (!Object)
     return Done();
   auto Once = std::make_shared<std::function<void()>>(std::move(Done));
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -23,6 +23,18 @@
 constexpr Duration NoConfigurationRetry = milliseconds(500);
 constexpr Duration CrashingRetry = seconds(5);
 
+const char *toString(NoPlace Reason) {
+  switch (Reason) {
+  case NoPlace::Absent:
+    return "absent";
+  case NoPlace::Full:
+    return "full";
+  case NoPlace::Quiet:
+    return "quiet";
+  }
+  return "unknown";
+}
+
 std::uint64_t upstreamHash(const UpstreamKey &Key) {
   return combineHashes(hashBytes(Key.Instance.str()),
                        static_cast<std::uint64_t>(Key.Epoch));
@@ -79,6 +91,7 @@
     PlacementQuery Query = query();
     Placement Found = place(shared().Book, Query, now());
     LastReason = Found.Reason;
+    QuietUntil = Found.QuietUntil;
     if (!Found.Chosen)
       return false;
     if (Arrived && !takeRepeat(shared().Retries, Shape->Id, now())) {
@@ -110,12 +123,20 @@
     return Found == Owner.Places.end() ? PlaceRate{} : Found->second;
   }
 
+  // Refuses the request at once if all that could serve it have asked for a
+  // pause and nothing of it has run. Returns whether it did.
+  bool refuseIfQuiet() {
+    if (LastReason != NoPlace::Quiet || MayHaveRun || HeadForwarded)
+      return false;
+    giveUp(ResultCode::Overloaded, "all_quiet");
+    return true;
+  }
+
   void beginWaiting() {
     State = FlowState::Waiting;
     WaitingSince = now();
     spdlog::info("event=queued request={} reason={} candidates_tried={}",
-                 Facts.Id, LastReason == NoPlace::Absent ? "absent" : "full",
-                 Tried.size());
+                 Facts.Id, toString(LastReason), Tried.size());
   }
 
   void check() {
@@ -185,6 +206,7 @@
     Query.Model = model();
     Query.OwnZone = Owner.Settings.Zone;
     Query.Draw = Owner.draw();
+    Query.NowWithSuspension = shared().Timers.nowWithSuspension();
     Query.ColdPerSecond = Shape->ColdPerSecond;
     Query.Tried = Tried;
     Query.ExtraSlots = Shape->Engine ? 0 : Owner.Settings.PlainQueue;
@@ -209,6 +231,7 @@
     Sent.LastEventId = Splitter.LastId;
     std::string Bytes = serialize(shared().Wire.Forward(Caller->Request, Sent));
     Running = Key;
+    RunningLife = lifeOf(Chosen);
     State = FlowState::Sent;
     AttemptAt = HeardAt = now();
     ++Attempts;
@@ -230,6 +253,10 @@
     Options.AnswerHasNoBody = Caller->Request.Method == "HEAD";
     if (!mayRepeat(*TheRoute))
       Options.MaxIdle = Owner.Settings.UnsafeMaxIdle;
+    Options.StillAllowed = [Flows = &Owner, Key] {
+      const FlowShared &Shared = Flows->Shared;
+      return maySend(Shared.Book, Key, Shared.Timers.nowWithSuspension());
+    };
     Attempt = shared().Pool.start(Chosen.Address, std::move(Bytes), Options,
                                   handlers());
   }
@@ -270,6 +297,8 @@
 
   bool head(const HttpResponse &Head) {
     AnswerFacts Answer = shared().Wire.ReadAnswer(Head);
+    if (shared().Heard)
+      shared().Heard(RunningLife, Answer);
     bool Success = Head.Status >= 200 && Head.Status < 300;
     if (Answer.Id != Facts.Id && (Success || !Answer.Id.empty())) {
       spdlog::warn("event=stray_answer request={} upstream={} answer_to={}",
@@ -449,6 +478,8 @@
       return true;
     if (NoBudget)
       return false;
+    if (refuseIfQuiet())
+      return true;
     beginWaiting();
     Owner.Waiting.push_back(shared_from_this());
     return true;
@@ -559,7 +590,8 @@
       refuse(Code == ResultCode::DeadlineExceeded ? 504 : 502, Code, Why, {});
       return;
     }
-    refuse(503, Code, Why, retryAfter(LastReason, Deadline - now()));
+    Duration QuietLeft = QuietUntil - shared().Timers.nowWithSuspension();
+    refuse(503, Code, Why, retryAfter(LastReason, Deadline - now(), QuietLeft));
   }
 
   void breakOff(std::string_view Why) {
@@ -604,6 +636,7 @@
   Duration ExpectedFirst{}; // from sending to the first event
   std::uint64_t Fingerprint = 0;
   std::optional<UpstreamKey> Running;
+  InstanceLife RunningLife;
   std::shared_ptr<Exchange> Attempt;
   std::set<UpstreamKey> Tried;
   int Attempts = 0;
@@ -616,6 +649,7 @@
   bool NoBudget = false;
   bool Gone = false;
   NoPlace LastReason = NoPlace::Absent;
+  TimePoint QuietUntil{}; // where LastReason is Quiet
   HttpResponse Collected;
   AnswerFacts CollectedFacts;
   EventSplitter Splitter;
@@ -650,7 +684,7 @@
   };
   if (!Flow->admit())
     return;
-  if (Flow->trySend())
+  if (Flow->trySend() || Flow->refuseIfQuiet())
     return;
   Flow->beginWaiting();
   Waiting.push_back(Flow);
@@ -691,7 +725,7 @@
     std::size_t Index = nextToServe(Ranked, Now);
     std::shared_ptr<RequestFlow> Next = Left[Index];
     Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Index));
-    if (!Next->trySend())
+    if (!Next->trySend() && !Next->refuseIfQuiet())
       Still.push_back(Next);
   }
   Waiting.insert(Waiting.end(), Still.begin(), Still.end());
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -100,7 +100,11 @@
     : Timers(Timers), Pool(Pool), Settings(Settings),
       Supplied(std::move(Supplied)), Metrics(Metrics),
       Flows(FlowShared{Timers, Pool, Book, Retries, Crashes, Metrics,
-                       this->Supplied.Wire},
+                       this->Supplied.Wire,
+                       [this](const InstanceLife &From,
+                              const AnswerFacts &Answer) {
+                         heardFrom(From, Answer);
+                       }},
             flowSettings(Settings)),
       Callers(Context, Timers,
               [this](std::shared_ptr<CallerRequest> Request) {
@@ -128,6 +132,11 @@
   Retries.Bounds = retryBounds(Settings, EntriesBeforeKnown);
   Book.Limits.Entries = EntriesBeforeKnown;
   Book.Limits.Self = Settings.Entry;
+  if (this->Supplied.Calls.Heard)
+    *this->Supplied.Calls.Heard = [this](const InstanceLife &From,
+                                         const AnswerFacts &Answer) {
+      heardFrom(From, Answer);
+    };
 }
 
 Result<std::unique_ptr<ServingEntry>>
@@ -277,6 +286,9 @@
                  Changed.Listed.Draining ? "draining" : "ready",
                  toMilliseconds(Changed.ColdFor));
   Record.Listed = Changed.Listed;
+  // The list may learn of it seconds later.
+  if (saysLeaving(Book.Words, {Id, Changed.Listed.BornMilliseconds}))
+    Record.Listed.Draining = true;
   Record.ColdUntil = Now + Changed.ColdFor;
   Record.ChangedAt = Now;
   Record.Lapsed = false;
@@ -336,6 +348,33 @@
   takeZonesOut(std::move(Zones), Revision);
 }
 
+void ServingEntry::heardFrom(const InstanceLife &From,
+                             const AnswerFacts &Answer) {
+  for (const std::string &Each : Answer.Unreadable)
+    Metrics.count("unreadable_words", "word", Each);
+  TimePoint Now = Timers.nowWithSuspension();
+  if (Answer.QuietFor) {
+    double Spread = std::uniform_real_distribution<double>(0, 1)(Random);
+    TimePoint Until =
+        noteQuiet(Book.Words, From, *Answer.QuietFor, Spread, Now);
+    Metrics.count("instance_words", "word", "quiet");
+    spdlog::info("event=instance_quiet instance={} asked_ms={} until_ms={}",
+                 From.Id.str(), toMilliseconds(*Answer.QuietFor),
+                 toMilliseconds(Until - Now));
+  }
+  if (!Answer.Leaving || !noteLeaving(Book.Words, From, Now))
+    return;
+  Metrics.count("instance_words", "word", "leaving");
+  spdlog::info("event=instance_leaving instance={} born={}", From.Id.str(),
+               From.BornMilliseconds);
+  auto Found = Instances.Instances.find(From.Id);
+  if (Found == Instances.Instances.end() ||
+      Found->second.Listed.BornMilliseconds != From.BornMilliseconds)
+    return;
+  Found->second.Listed.Draining = true;
+  upstreamsChanged();
+}
+
 // Instances report several changes at once when a group forms.
 void ServingEntry::upstreamsChanged() {
   if (Rebuild.active())
@@ -466,6 +505,7 @@
   }
   WasTold = Told;
   forgetOldChanges(Changes, Now);
+  forgetOldWords(Book.Words, Timers.nowWithSuspension());
   expire(Crashes, BreakOffShare, Now);
   refreshLoad();
   Book.Limits.ManyEntries = Peers.manyEntries();
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -135,9 +135,16 @@
          toSeconds(Limits.FullPenalty) * Taken * Taken;
 }
 
+bool isQuiet(const UpstreamBook &Book, const Upstream &Known,
+             const PlacementQuery &Query) {
+  return quietUntil(Book.Words, lifeOf(Known)) > Query.NowWithSuspension;
+}
+
 bool mayTake(const UpstreamBook &Book, const UpstreamState &State,
              const PlacementQuery &Query, TimePoint Now) {
   const Upstream &Known = State.Known;
+  if (isQuiet(Book, Known, Query))
+    return false;
   if (State.Own.Running + State.Elsewhere.Running >=
       Known.Slots + Query.ExtraSlots)
     return false;
@@ -224,6 +231,20 @@
 
 } // namespace
 
+InstanceLife lifeOf(const Upstream &Of) {
+  return {Of.Key.Instance, Of.BornMilliseconds};
+}
+
+bool maySend(const UpstreamBook &Book, const UpstreamKey &Key,
+             TimePoint NowWithSuspension) {
+  auto Found = Book.Upstreams.find(Key);
+  if (Found == Book.Upstreams.end())
+    return false;
+  InstanceLife Life = lifeOf(Found->second.Known);
+  return !saysLeaving(Book.Words, Life) &&
+         quietUntil(Book.Words, Life) <= NowWithSuspension;
+}
+
 UpstreamLoad &operator+=(UpstreamLoad &Sum, const UpstreamLoad &Load) {
   Sum.Running += Load.Running;
   Sum.PendingTokens += Load.PendingTokens;
@@ -285,11 +306,19 @@
   Placement Result;
   std::vector<Candidate> Choice;
   bool AllAvoided = true;
+  int Quiet = 0;
   for (const auto &[Key, State] : Book.Upstreams) {
     const Upstream &Known = State.Known;
-    if (Known.Service != Query.Service || Known.Model != Query.Model)
+    if (Known.Service != Query.Service || Known.Model != Query.Model ||
+        saysLeaving(Book.Words, lifeOf(Known)))
       continue;
     ++Result.Candidates;
+    if (isQuiet(Book, Known, Query)) {
+      TimePoint Until = quietUntil(Book.Words, lifeOf(Known));
+      Result.QuietUntil =
+          Quiet == 0 ? Until : std::min(Result.QuietUntil, Until);
+      ++Quiet;
+    }
     if (Query.Tried.contains(Key))
       continue;
     Result.Reason = NoPlace::Full;
@@ -304,6 +333,8 @@
     UpstreamLoad Load = loadNow(State, Query, Book.Limits.NewsAge);
     Choice.push_back({&State, Load, score(State, Load, Query, Book.Limits)});
   }
+  if (Quiet > 0 && Quiet == Result.Candidates)
+    Result.Reason = NoPlace::Quiet;
   if (Choice.empty())
     return Result;
   int Meanwhile = Book.Limits.NewsAge > Duration::zero()
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -14,6 +14,7 @@
 // seconds.
 constexpr Duration OverloadSpell = milliseconds(1'600);
 constexpr double LatestReturnPart = 0.3; // of the time a caller has left
+constexpr Duration ShortestReturn = milliseconds(50);
 // Memory of a PlaceRate: a few turnovers of a group's places.
 constexpr double RateMemorySeconds = 1.0;
 
@@ -38,11 +39,13 @@
                                                      : Limits.LongestFull);
 }
 
-Duration retryAfter(NoPlace Reason, Duration TimeLeft) {
+Duration retryAfter(NoPlace Reason, Duration TimeLeft, Duration QuietLeft) {
+  if (Reason == NoPlace::Quiet)
+    return std::max(QuietLeft, ShortestReturn);
   Duration Wanted = Reason == NoPlace::Absent ? RepairTime : OverloadSpell;
   auto Latest =
       std::chrono::duration_cast<Duration>(TimeLeft * LatestReturnPart);
-  return std::max(std::min(Wanted, Latest), milliseconds(50));
+  return std::max(std::min(Wanted, Latest), ShortestReturn);
 }
 
 void notePlace(PlaceRate &Rate, TimePoint Now) {
--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -76,6 +76,83 @@
   EXPECT_TRUE(Read({200, {{"x-samphirehill-engine-seal", "s"}}, {}}).Sealed);
 }
 
+TEST(RequestsTest, ReadsWhatAnInstanceSaysOfItself) {
+  struct Case {
+    int Status;
+    serving::HeaderList Headers;
+    bool Leaving;
+    std::optional<Duration> QuietFor;
+    std::size_t Unreadable;
+  };
+  const Duration Most = serving::LongestPause;
+  const Case Cases[] = {
+      {200, {{"Server-Leaving", "1"}}, true, {}, 0},
+      {500, {{"server-leaving", "1"}}, true, {}, 0},
+      {503,
+       {{"Server-Leaving", "1"}, {"Retry-After", "2"}},
+       true,
+       seconds(2),
+       0},
+      {200, {{"Server-Leaving", "0"}}, false, {}, 1},
+      {200, {{"Server-Leaving", "yes"}}, false, {}, 1},
+      {200, {{"Server-Leaving", ""}}, false, {}, 1},
+      {200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}, true, {}, 1},
+      // Another instance may have answered.
+      {421, {{"Server-Leaving", "1"}}, false, {}, 0},
+      {503, {{"Retry-After", "0.25"}}, false, milliseconds(250), 0},
+      {503, {{"Retry-After", "0"}}, false, Duration::zero(), 0},
+      {503, {{"Retry-After", "-1"}}, false, {}, 1},
+      {503, {{"Retry-After", "soon"}}, false, {}, 1},
+      {503, {{"Retry-After", "3 s"}}, false, {}, 1},
+      {503, {{"Retry-After", ""}}, false, {}, 1},
+      {503, {{"Retry-After", "inf"}}, false, {}, 1},
+      {503, {{"Retry-After", "nan"}}, false, {}, 1},
+      {503, {{"Retry-After", "1e999"}}, false, {}, 1},
+      {503, {{"Retry-After", "1e30"}}, false, Most, 0},
+      {503, {{"Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT"}}, false, {}, 1},
+      {503, {{"Retry-After", "3"}, {"Retry-After", "1"}}, false, seconds(3), 0},
+      {503, {{"Retry-After", "x"}, {"Retry-After", "1"}}, false, seconds(1), 1},
+      {429, {{"Retry-After", "3"}}, false, {}, 0},
+      {200, {{"Retry-After", "3"}}, false, {}, 0},
+  };
+  for (const Case &Each : Cases) {
+    SCOPED_TRACE(std::to_string(Each.Status) + " " + Each.Headers[0].Name +
+                 ": " + Each.Headers[0].Value);
+    serving::AnswerFacts Read =
+        requestWire().ReadAnswer({Each.Status, Each.Headers, {}});
+    EXPECT_EQ(Read.Leaving, Each.Leaving);
+    EXPECT_EQ(Read.QuietFor, Each.QuietFor);
+    EXPECT_EQ(Read.Unreadable.size(), Each.Unreadable);
+  }
+}
+
+TEST(RequestsTest, TellsWhatAReportSaysOfItsInstance) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  serving::ExchangePool Pool(Context, Timers);
+  serving::ScriptedServer Server(
+      Context, [](serving::ScriptedConnection &Connection, int) {
+        Connection.send("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+                        "Content-Length: 2\r\n\r\n{}");
+      });
+  serving::InstanceCalls Calls = instanceCalls(Pool);
+  std::optional<serving::InstanceLife> Left;
+  *Calls.Heard = [&](const serving::InstanceLife &From,
+                     const serving::AnswerFacts &Answer) {
+    if (Answer.Leaving)
+      Left = From;
+  };
+  serving::Instance Asked;
+  Asked.Id = InstanceId("i-1");
+  Asked.BornMilliseconds = 7;
+  Asked.Address = {"127.0.0.1", Server.port()};
+  bool Done = false;
+  Calls.Report(Asked, [&](const Outcome<serving::Instance> &) { Done = true; });
+  serving::runUntil(Context, [&] { return Done; });
+  ASSERT_TRUE(Left);
+  EXPECT_EQ(*Left, (serving::InstanceLife{Asked.Id, 7}));
+}
+
 TEST(RequestsTest, AnswersWithIdAndTimeToComeBack) {
   HttpResponse Answer = requestWire().OwnAnswer(503, "9c41", milliseconds(250));
   EXPECT_EQ(Answer.Status, 503);
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -34,6 +34,9 @@
     Facts.Id = Id ? *Id : "";
     Facts.Sealed = findHeader(Answer.Headers, "seal") != nullptr;
     Facts.NotRun = findHeader(Answer.Headers, "notrun") != nullptr;
+    Facts.Leaving = findHeader(Answer.Headers, "leaving") != nullptr;
+    if (const std::string *Pause = findHeader(Answer.Headers, "quiet"))
+      Facts.QuietFor = milliseconds(std::stoi(*Pause));
     return Facts;
   };
   Wire.OwnAnswer = [](int Status, const std::string &Id,
@@ -56,7 +59,10 @@
 protected:
   RequestFlowTest()
       : Timers(Context), Pool(Context, Timers),
-        Flows({Timers, Pool, Book, Retries, Crashes, Metrics, testWire()},
+        Flows({Timers, Pool, Book, Retries, Crashes, Metrics, testWire(),
+               [this](const InstanceLife &From, const AnswerFacts &Answer) {
+                 heardFrom(From, Answer);
+               }},
               flowSettings()),
         Callers(Context, Timers,
                 [this](std::shared_ptr<CallerRequest> Request) {
@@ -81,6 +87,14 @@
     return Made;
   }
 
+  void heardFrom(const InstanceLife &From, const AnswerFacts &Answer) {
+    TimePoint Now = Timers.nowWithSuspension();
+    if (Answer.Leaving)
+      noteLeaving(Book.Words, From, Now);
+    if (Answer.QuietFor)
+      noteQuiet(Book.Words, From, *Answer.QuietFor, 0, Now);
+  }
+
   void addRoute(const std::string &Prefix, RequestKind Kind,
                 const ServiceId &Service, bool Resumable) {
     Route Made;
@@ -242,6 +256,82 @@
                   "200 OK"}),
     [](const auto &Each) { return Each.param.Name; });
 
+TEST_F(RequestFlowTest, SendsNothingMoreToAnEngineThatLeaves) {
+  ScriptedServer &Leaving =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(
+            answer("200 OK\r\nid: r1\r\nseal: s\r\nleaving: 1", "A"));
+      });
+  ScriptedServer &Other =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "B"));
+      });
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+  for (int Sent = 0; Sent < 3; ++Sent) {
+    Got.clear();
+    send("/safe/");
+    EXPECT_TRUE(awaitAnswer("\r\n\r\nB"));
+  }
+  EXPECT_EQ(Leaving.requests(), 1);
+  EXPECT_EQ(Other.requests(), 3);
+}
+
+TEST_F(RequestFlowTest, LeavesAnEngineAloneThatAsksForAPause) {
+  ScriptedServer &Quiet =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int Number) {
+        Connection.send(
+            Number == 1
+                ? answer("503 Full\r\nid: r1\r\nnotrun: 1\r\nquiet: 400", "")
+                : answer("200 OK\r\nid: r1\r\nseal: s", "A"));
+      });
+  addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "B"));
+  });
+  TimePoint Began = Timers.now();
+  while (Timers.now() - Began < milliseconds(390)) {
+    Got.clear();
+    send("/unsafe/");
+    EXPECT_TRUE(awaitAnswer("\r\n\r\nB"));
+  }
+  EXPECT_EQ(Quiet.requests(), 1);
+  runUntil(Context, [&] { return Timers.now() - Began > milliseconds(450); });
+  Got.clear();
+  send("/unsafe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+}
+
+TEST_F(RequestFlowTest, RefusesAtOnceWhenAllEnginesAreQuiet) {
+  ScriptedServer &Quiet =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(
+            answer("503 Full\r\nid: r1\r\nnotrun: 1\r\nquiet: 5000", ""));
+      });
+  TimePoint Began = Timers.now();
+  for (int Sent = 0; Sent < 2; ++Sent) {
+    Got.clear();
+    send("/safe/");
+    EXPECT_TRUE(awaitAnswer("503"));
+    EXPECT_TRUE(awaitAnswer("retry: yes"));
+  }
+  EXPECT_LT(toMilliseconds(Timers.now() - Began), 250);
+  EXPECT_EQ(Quiet.requests(), 1);
+}
+
+// A failure without a promise may have run, whatever pause it asks for.
+TEST_F(RequestFlowTest, PassesOnAFailureThatAsksForAPause) {
+  addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("503 Full\r\nid: r1\r\nquiet: 5000", "x"));
+  });
+  ScriptedServer &Other =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "B"));
+      });
+  send("/unsafe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nx"));
+  EXPECT_EQ(Other.requests(), 0);
+}
+
 TEST_F(RequestFlowTest, DeliversAnEnginesFailureUnchanged) {
   addEngine(PlainService, [](ScriptedConnection &To, int) {
     To.send(answer("500 Failed\r\nid: r1\r\nseal: f", "why"));
--- a/test/Serving/WaitPolicyTest.cpp
+++ b/test/Serving/WaitPolicyTest.cpp
@@ -89,9 +89,17 @@
   for (NoPlace Reason : {NoPlace::Absent, NoPlace::Full}) {
     RC_ASSERT(longestWait({}, Reason, Left) < Left);
     // Callers honour a return within a third of the time that they have left.
-    RC_ASSERT(retryAfter(Reason, Left) <= std::max(Left / 3, milliseconds(50)));
+    RC_ASSERT(retryAfter(Reason, Left, {}) <=
+              std::max(Left / 3, milliseconds(50)));
   }
 }
 
+TEST(WaitPolicyTest, ReturnsAtTheEndOfTheFirstPauseWhenAllAreQuiet) {
+  EXPECT_EQ(retryAfter(NoPlace::Quiet, seconds(8), seconds(2)), seconds(2));
+  EXPECT_EQ(retryAfter(NoPlace::Quiet, seconds(1), seconds(9)), seconds(9));
+  EXPECT_GT(retryAfter(NoPlace::Quiet, seconds(8), -seconds(1)),
+            Duration::zero());
+}
+
 } // namespace
 } // namespace samphirehill::serving
