--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -8,7 +8,7 @@
 #include "samphirehill/Serving/DutyLease.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/GroupPlan.h"
-#include "samphirehill/Serving/InstanceWords.h"
+#include "samphirehill/Serving/InstanceNotices.h"
 #include "samphirehill/Serving/ObjectStore.h"
 #include "samphirehill/Serving/PeerGossip.h"
 #include "samphirehill/Serving/RequestWire.h"
--- a/include/samphirehill/Serving/InstanceWords.h
+++ b/include/samphirehill/Serving/InstanceNotices.h
@@ -2,8 +2,8 @@
 // they want no requests for a while. Both hold for one life of an instance, not
 // for its name or address. No I/O; times are of a clock that counts the time
 // for which this machine was suspended.
-#ifndef SAMPHIREHILL_SERVING_INSTANCEWORDS_H
-#define SAMPHIREHILL_SERVING_INSTANCEWORDS_H
+#ifndef SAMPHIREHILL_SERVING_INSTANCENOTICES_H
+#define SAMPHIREHILL_SERVING_INSTANCENOTICES_H
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
@@ -26,36 +26,38 @@
   auto operator<=>(const InstanceLife &) const = default;
 };
 
-struct InstanceWord {
+// What a life of an instance has said.
+struct InstanceNotice {
   bool Leaving = false;
   TimePoint QuietUntil{};
   TimePoint SaidAt{}; // the last of both
 
-  bool operator==(const InstanceWord &) const = default;
+  bool operator==(const InstanceNotice &) const = default;
 };
 
-struct InstanceWords {
-  std::map<InstanceLife, InstanceWord> Said;
+struct InstanceNotices {
+  std::map<InstanceLife, InstanceNotice> ByLife;
 };
 
 // Notes that From leaves. Returns whether that is news.
-bool noteLeaving(InstanceWords &Words, const InstanceLife &From, TimePoint Now);
+bool noteLeaving(InstanceNotices &Notices, const InstanceLife &From,
+                 TimePoint Now);
 
 // Notes that From wants no requests for Pause. Spread, uniform in [0, 1), makes
 // the pause a little longer, so that entries that were told together don't
 // return together. Returns when the pause ends; an earlier, longer one holds.
-TimePoint noteQuiet(InstanceWords &Words, const InstanceLife &From,
+TimePoint noteQuiet(InstanceNotices &Notices, const InstanceLife &From,
                     Duration Pause, double Spread, TimePoint Now);
 
 // Returns whether Of has said that it leaves.
-bool saysLeaving(const InstanceWords &Words, const InstanceLife &Of);
+bool isLeaving(const InstanceNotices &Notices, const InstanceLife &Of);
 
 // Returns until when Of wants no requests; a time before Now if it wants some.
-TimePoint quietUntil(const InstanceWords &Words, const InstanceLife &Of);
+TimePoint quietUntil(const InstanceNotices &Notices, const InstanceLife &Of);
 
 // Forgets lives that have said nothing for so long that they have ended.
-void forgetOldWords(InstanceWords &Words, TimePoint Now);
+void forgetOldNotices(InstanceNotices &Notices, TimePoint Now);
 
 } // namespace samphirehill::serving
 
-#endif // SAMPHIREHILL_SERVING_INSTANCEWORDS_H
+#endif // SAMPHIREHILL_SERVING_INSTANCENOTICES_H
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -6,7 +6,7 @@
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Serving/Fleet.h"
-#include "samphirehill/Serving/InstanceWords.h"
+#include "samphirehill/Serving/InstanceNotices.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -110,7 +110,7 @@
   // Uniform in [0, 1): chooses among the upstreams that are expected to be
   // equally good once the other entries have sent what they send meanwhile.
   double Draw = 0;
-  TimePoint NowWithSuspension{}; // of the clock of InstanceWords
+  TimePoint NowWithSuspension{}; // of the clock of InstanceNotices
 };
 
 // Returns the expected time to the first event of a request with PromptTokens
@@ -139,7 +139,7 @@
 struct UpstreamBook {
   PlacementLimits Limits;
   std::map<UpstreamKey, UpstreamState> Upstreams;
-  InstanceWords Words;
+  InstanceNotices Notices;
 };
 
 // Returns the life of the instance that takes Of's requests.
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -399,7 +399,7 @@
 void GroupController::probe(const Instance &Asked, bool IsUnlisted) {
   Probe &Own = Probes[Asked.Id];
   TimePoint Now = Timers.now();
-  if (quietUntil(Book.Words, {Asked.Id, Asked.BornMilliseconds}) >
+  if (quietUntil(Book.Notices, {Asked.Id, Asked.BornMilliseconds}) >
       Timers.nowWithSuspension())
     return;
   if (Own.Asking ||
--- /dev/null
+++ b/lib/Serving/InstanceNotices.cpp
@@ -0,0 +1,59 @@
+#include "samphirehill/Serving/InstanceNotices.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirehill::serving {
+namespace {
+
+// A leaving instance may serve for minutes until its work is done.
+constexpr Duration NoticeMemory = LongestPause;
+// The part of a pause, and the most, by which entries spread their return.
+constexpr double SpreadPart = 0.1;
+constexpr Duration LongestSpread = milliseconds(500);
+
+const InstanceNotice *find(const InstanceNotices &Notices,
+                           const InstanceLife &Of) {
+  auto Found = Notices.ByLife.find(Of);
+  return Found == Notices.ByLife.end() ? nullptr : &Found->second;
+}
+
+} // namespace
+
+bool noteLeaving(InstanceNotices &Notices, const InstanceLife &From,
+                 TimePoint Now) {
+  InstanceNotice &Notice = Notices.ByLife[From];
+  Notice.SaidAt = Now;
+  return !std::exchange(Notice.Leaving, true);
+}
+
+TimePoint noteQuiet(InstanceNotices &Notices, const InstanceLife &From,
+                    Duration Pause, double Spread, TimePoint Now) {
+  InstanceNotice &Notice = Notices.ByLife[From];
+  Notice.SaidAt = Now;
+  Duration Asked = std::min(Pause, LongestPause);
+  auto Most = std::chrono::duration_cast<Duration>(Asked * SpreadPart);
+  auto Added = std::chrono::duration_cast<Duration>(
+      std::min(Most, LongestSpread) * Spread);
+  Notice.QuietUntil = std::max(Notice.QuietUntil, Now + Asked + Added);
+  return Notice.QuietUntil;
+}
+
+bool isLeaving(const InstanceNotices &Notices, const InstanceLife &Of) {
+  const InstanceNotice *Notice = find(Notices, Of);
+  return Notice && Notice->Leaving;
+}
+
+TimePoint quietUntil(const InstanceNotices &Notices, const InstanceLife &Of) {
+  const InstanceNotice *Notice = find(Notices, Of);
+  return Notice ? Notice->QuietUntil : TimePoint{};
+}
+
+void forgetOldNotices(InstanceNotices &Notices, TimePoint Now) {
+  std::erase_if(Notices.ByLife, [&](const auto &Each) {
+    return Now - Each.second.SaidAt > NoticeMemory &&
+           Now >= Each.second.QuietUntil;
+  });
+}
+
+} // namespace samphirehill::serving
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -287,7 +287,7 @@
                  toMilliseconds(Changed.ColdFor));
   Record.Listed = Changed.Listed;
   // The list may learn of it seconds later.
-  if (saysLeaving(Book.Words, {Id, Changed.Listed.BornMilliseconds}))
+  if (isLeaving(Book.Notices, {Id, Changed.Listed.BornMilliseconds}))
     Record.Listed.Draining = true;
   Record.ColdUntil = Now + Changed.ColdFor;
   Record.ChangedAt = Now;
@@ -351,20 +351,20 @@
 void ServingEntry::heardFrom(const InstanceLife &From,
                              const AnswerFacts &Answer) {
   for (const std::string &Each : Answer.Unreadable)
-    Metrics.count("unreadable_words", "word", Each);
+    Metrics.count("unreadable_notices", "notice", Each);
   TimePoint Now = Timers.nowWithSuspension();
   if (Answer.QuietFor) {
     double Spread = std::uniform_real_distribution<double>(0, 1)(Random);
     TimePoint Until =
-        noteQuiet(Book.Words, From, *Answer.QuietFor, Spread, Now);
-    Metrics.count("instance_words", "word", "quiet");
+        noteQuiet(Book.Notices, From, *Answer.QuietFor, Spread, Now);
+    Metrics.count("instance_notices", "notice", "quiet");
     spdlog::info("event=instance_quiet instance={} asked_ms={} until_ms={}",
                  From.Id.str(), toMilliseconds(*Answer.QuietFor),
                  toMilliseconds(Until - Now));
   }
-  if (!Answer.Leaving || !noteLeaving(Book.Words, From, Now))
+  if (!Answer.Leaving || !noteLeaving(Book.Notices, From, Now))
     return;
-  Metrics.count("instance_words", "word", "leaving");
+  Metrics.count("instance_notices", "notice", "leaving");
   spdlog::info("event=instance_leaving instance={} born={}", From.Id.str(),
                From.BornMilliseconds);
   auto Found = Instances.Instances.find(From.Id);
@@ -505,7 +505,7 @@
   }
   WasTold = Told;
   forgetOldChanges(Changes, Now);
-  forgetOldWords(Book.Words, Timers.nowWithSuspension());
+  forgetOldNotices(Book.Notices, Timers.nowWithSuspension());
   expire(Crashes, BreakOffShare, Now);
   refreshLoad();
   Book.Limits.ManyEntries = Peers.manyEntries();
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -137,7 +137,7 @@
 
 bool isQuiet(const UpstreamBook &Book, const Upstream &Known,
              const PlacementQuery &Query) {
-  return quietUntil(Book.Words, lifeOf(Known)) > Query.NowWithSuspension;
+  return quietUntil(Book.Notices, lifeOf(Known)) > Query.NowWithSuspension;
 }
 
 bool mayTake(const UpstreamBook &Book, const UpstreamState &State,
@@ -241,8 +241,8 @@
   if (Found == Book.Upstreams.end())
     return false;
   InstanceLife Life = lifeOf(Found->second.Known);
-  return !saysLeaving(Book.Words, Life) &&
-         quietUntil(Book.Words, Life) <= NowWithSuspension;
+  return !isLeaving(Book.Notices, Life) &&
+         quietUntil(Book.Notices, Life) <= NowWithSuspension;
 }
 
 UpstreamLoad &operator+=(UpstreamLoad &Sum, const UpstreamLoad &Load) {
@@ -310,11 +310,11 @@
   for (const auto &[Key, State] : Book.Upstreams) {
     const Upstream &Known = State.Known;
     if (Known.Service != Query.Service || Known.Model != Query.Model ||
-        saysLeaving(Book.Words, lifeOf(Known)))
+        isLeaving(Book.Notices, lifeOf(Known)))
       continue;
     ++Result.Candidates;
     if (isQuiet(Book, Known, Query)) {
-      TimePoint Until = quietUntil(Book.Words, lifeOf(Known));
+      TimePoint Until = quietUntil(Book.Notices, lifeOf(Known));
       Result.QuietUntil =
           Quiet == 0 ? Until : std::min(Result.QuietUntil, Until);
       ++Quiet;
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -90,9 +90,9 @@
   void heardFrom(const InstanceLife &From, const AnswerFacts &Answer) {
     TimePoint Now = Timers.nowWithSuspension();
     if (Answer.Leaving)
-      noteLeaving(Book.Words, From, Now);
+      noteLeaving(Book.Notices, From, Now);
     if (Answer.QuietFor)
-      noteQuiet(Book.Words, From, *Answer.QuietFor, 0, Now);
+      noteQuiet(Book.Notices, From, *Answer.QuietFor, 0, Now);
   }
 
   void addRoute(const std::string &Prefix, RequestKind Kind,
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -47,13 +47,13 @@
 };
 
 TEST_F(UpstreamBookTest, ChoosesNoUpstreamThatLeaves) {
-  noteLeaving(Book.Words, {InstanceId("i0"), 0}, Now);
-  noteLeaving(Book.Words, {InstanceId("i1"), 0}, Now);
+  noteLeaving(Book.Notices, {InstanceId("i0"), 0}, Now);
+  noteLeaving(Book.Notices, {InstanceId("i1"), 0}, Now);
   EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
   EXPECT_FALSE(maySend(Book, key(0), Now));
-  noteLeaving(Book.Words, {InstanceId("i2"), 1}, Now); // another life
+  noteLeaving(Book.Notices, {InstanceId("i2"), 1}, Now); // another life
   EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
-  noteLeaving(Book.Words, {InstanceId("i2"), 0}, Now);
+  noteLeaving(Book.Notices, {InstanceId("i2"), 0}, Now);
   Placement None = place(Book, Query, Now);
   EXPECT_FALSE(None.Chosen);
   EXPECT_EQ(None.Reason, NoPlace::Absent);
@@ -61,10 +61,10 @@
 
 TEST_F(UpstreamBookTest, ChoosesAQuietUpstreamOnlyAfterItsPause) {
   Query.NowWithSuspension = Now;
-  noteQuiet(Book.Words, {InstanceId("i0"), 0}, seconds(2), 0, Now);
-  noteQuiet(Book.Words, {InstanceId("i1"), 0}, seconds(3), 0, Now);
+  noteQuiet(Book.Notices, {InstanceId("i0"), 0}, seconds(2), 0, Now);
+  noteQuiet(Book.Notices, {InstanceId("i1"), 0}, seconds(3), 0, Now);
   EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
-  noteQuiet(Book.Words, {InstanceId("i2"), 0}, seconds(4), 0, Now);
+  noteQuiet(Book.Notices, {InstanceId("i2"), 0}, seconds(4), 0, Now);
   Placement None = place(Book, Query, Now);
   EXPECT_EQ(None.Reason, NoPlace::Quiet);
   EXPECT_EQ(None.QuietUntil, Now + seconds(2));
@@ -76,8 +76,8 @@
 
 TEST_F(UpstreamBookTest, CallsAFullUpstreamFullThoughOthersAreQuiet) {
   Query.NowWithSuspension = Now;
-  noteQuiet(Book.Words, {InstanceId("i0"), 0}, seconds(2), 0, Now);
-  noteQuiet(Book.Words, {InstanceId("i1"), 0}, seconds(2), 0, Now);
+  noteQuiet(Book.Notices, {InstanceId("i0"), 0}, seconds(2), 0, Now);
+  noteQuiet(Book.Notices, {InstanceId("i1"), 0}, seconds(2), 0, Now);
   Book.Upstreams[key(2)].Own.Running = 26;
   EXPECT_EQ(place(Book, Query, Now).Reason, NoPlace::Full);
 }
