--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Serving/Loopback.h"
 #include "Serving/TestFleet.h"
+#include "Serving/TestWire.h"
 
 #include <gtest/gtest.h>
 
@@ -11,50 +12,6 @@
 namespace samphirehill::serving {
 namespace {
 
-// A wire with short names, so that the flows are tested apart from any adapter.
-RequestWire testWire() {
-  RequestWire Wire;
-  Wire.ReadRequest = [](const HttpRequest &Request) {
-    RequestFacts Facts;
-    Facts.Id = *findHeader(Request.Headers, "id");
-    Facts.Host = "h";
-    Facts.Model = "large";
-    Facts.TimeLeft = seconds(3);
-    return Facts;
-  };
-  Wire.Forward = [](const HttpRequest &Original, const SendFacts &Facts) {
-    HttpRequest Sent = Original;
-    if (Facts.LastEventId)
-      Sent.Headers.push_back({"last", std::to_string(*Facts.LastEventId)});
-    return Sent;
-  };
-  Wire.ReadAnswer = [](const HttpResponse &Answer) {
-    AnswerFacts Facts;
-    const std::string *Id = findHeader(Answer.Headers, "id");
-    Facts.Id = Id ? *Id : "";
-    Facts.Sealed = findHeader(Answer.Headers, "seal") != nullptr;
-    Facts.NotRun = findHeader(Answer.Headers, "notrun") != nullptr;
-    Facts.Leaving = findHeader(Answer.Headers, "leaving") != nullptr;
-    if (const std::string *Pause = findHeader(Answer.Headers, "quiet"))
-      Facts.QuietFor = milliseconds(std::stoi(*Pause));
-    return Facts;
-  };
-  Wire.OwnAnswer = [](int Status, const std::string &Id,
-                      std::optional<Duration> RetryAfter) {
-    HttpResponse Answer{Status, {{"id", Id}}, {}};
-    if (RetryAfter)
-      Answer.Headers.push_back({"retry", "yes"});
-    return Answer;
-  };
-  return Wire;
-}
-
-std::string answer(const std::string &Head, const std::string &Body) {
-  return "HTTP/1.1 " + Head +
-         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-         Body;
-}
-
 class RequestFlowTest : public testing::Test {
 protected:
   RequestFlowTest()
--- /dev/null
+++ b/test/Serving/ServingEntryTest.cpp
@@ -0,0 +1,213 @@
+// An entry on real sockets, between a caller, scripted engines and a store that
+// accepts everything: what it does with changes of the list and with notices of
+// instances.
+#include "samphirehill/Serving/ServingEntry.h"
+
+#include "Serving/Loopback.h"
+#include "Serving/TestFleet.h"
+#include "Serving/TestWire.h"
+
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+class ServingEntryTest : public testing::Test {
+protected:
+  ServingEntryTest() : Timers(Context), Pool(Context, Timers) {
+    Settings.Entry = EntryId("edge-1");
+    Settings.Zone = ZoneId("north");
+    for (SocketAddress *Each : {&Settings.Callers, &Settings.Readiness,
+                                &Settings.Peers, &Settings.Metrics})
+      *Each = {"127.0.0.1", freePort()};
+    Settings.RetrySlack = 100;
+    Settings.Drain = seconds(1);
+    auto Created = capture([&] {
+      return ServingEntry::create(
+          Context, Timers, Pool, Metrics, Settings,
+          Adapter{testWire(), acceptingStore(), silentCalls(), "/ready"});
+    });
+    EXPECT_FALSE(errorOf(Created));
+    Entry = std::move(std::get<0>(Created));
+    Configuration Config = testConfiguration();
+    addRoute(Config, "/safe/", RequestKind::Safe, PlainService);
+    addRoute(Config, "/stream/", RequestKind::Stream, PoolService);
+    Entry->takeConfiguration(Config);
+  }
+
+  static ObjectStore acceptingStore() {
+    ObjectStore Store;
+    Store.Read = [](const std::string &, const std::string &, auto Done) {
+      Done(std::optional<StoredObject>());
+    };
+    Store.List = [](const std::string &, auto Done) {
+      Done(std::vector<StoredObject>());
+    };
+    Store.Write = [](const std::string &, const StoredObject &Object,
+                     auto Done) { Done(Object); };
+    return Store;
+  }
+
+  // Instances that answer no order and no question.
+  static InstanceCalls silentCalls() {
+    InstanceCalls Calls;
+    Calls.Order = [](const Instance &, const GroupOrder &, auto, auto) {};
+    Calls.Report = [](const Instance &, auto) {};
+    return Calls;
+  }
+
+  static void addRoute(Configuration &Config, const std::string &Prefix,
+                       RequestKind Kind, const ServiceId &Service) {
+    Route Made;
+    Made.Name = Prefix;
+    Made.Host = "h";
+    Made.PathPrefix = Prefix;
+    Made.Kind = Kind;
+    Made.Anonymous = true;
+    Made.Timeout = seconds(3);
+    Made.Services = {{Service, 1}};
+    Config.Routes.push_back(Made);
+  }
+
+  // Lists an instance, or takes it off the list.
+  void list(const Instance &Listed, bool Removed = false) {
+    Entry->offerChange(
+        {Listed.Id.str(), ++Revision, Removed, ListedInstance{Listed, {}}});
+  }
+
+  // Lists an instance of the plain service, which answers as Script says.
+  Instance plainInstance(const std::string &Id, const std::string &Zone,
+                         ScriptedServer::Script Script) {
+    Instance Made;
+    Made.Id = InstanceId(Id);
+    Made.Service = PlainService;
+    Made.Zone = ZoneId(Zone);
+    Made.Slots = 4;
+    Made.BornMilliseconds = 1;
+    Made.Address = serve(std::move(Script));
+    list(Made);
+    return Made;
+  }
+
+  SocketAddress serve(ScriptedServer::Script Script) {
+    Engines.push_back(
+        std::make_unique<ScriptedServer>(Context, std::move(Script)));
+    return {"127.0.0.1", Engines.back()->port()};
+  }
+
+  // Returns the whole answer to a request on a connection of its own.
+  std::string ask(const std::string &Path) {
+    asio::ip::tcp::socket Client(Context);
+    Client.connect(
+        {asio::ip::make_address("127.0.0.1"), Settings.Callers.Port});
+    asio::write(Client, asio::buffer("POST " + Path +
+                                     "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
+                                     "Connection: close\r\n"
+                                     "Content-Length: 0\r\n\r\n"));
+    std::string Got;
+    std::array<char, 4'096> Buffer{};
+    bool Closed = false;
+    std::function<void()> Read = [&] {
+      Client.async_read_some(asio::buffer(Buffer),
+                             [&](std::error_code Failed, std::size_t Size) {
+                               Got.append(Buffer.data(), Size);
+                               Closed = static_cast<bool>(Failed);
+                               if (!Closed)
+                                 Read();
+                             });
+    };
+    Read();
+    EXPECT_TRUE(runUntil(Context, [&] { return Closed; }));
+    return Got;
+  }
+
+  static bool served(const std::string &Answer, const std::string &By) {
+    return Answer.starts_with("HTTP/1.1 200") &&
+           Answer.find(By) != std::string::npos;
+  }
+
+  void wait(Duration Length) {
+    TimePoint End = Timers.now() + Length;
+    runUntil(Context, [&] { return Timers.now() >= End; });
+  }
+
+  asio::io_context Context;
+  TimerService Timers;
+  ExchangePool Pool;
+  ServingMetrics Metrics;
+  ServingSettings Settings;
+  std::unique_ptr<ServingEntry> Entry;
+  std::vector<std::unique_ptr<ScriptedServer>> Engines;
+  std::int64_t Revision = 0;
+};
+
+TEST_F(ServingEntryTest, SendsNothingToALeavingLifeWhateverTheListSays) {
+  Instance Leaving = plainInstance(
+      "i1", "north", [](ScriptedConnection &Connection, int Number) {
+        Connection.send(answer(Number == 1
+                                   ? "200 OK\r\nid: r1\r\nseal: s\r\nleaving: 1"
+                                   : "200 OK\r\nid: r1\r\nseal: s",
+                               "first"));
+      });
+  plainInstance("i2", "south", [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+  });
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/safe/"), "first"));
+  EXPECT_TRUE(served(ask("/safe/"), "second"));
+  list(Leaving); // still called ready
+  list(Leaving, true);
+  list(Leaving);
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/safe/"), "second"));
+  EXPECT_EQ(Engines[0]->requests(), 1);
+  Leaving.BornMilliseconds = 2; // started again under its name
+  list(Leaving);
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/safe/"), "first"));
+}
+
+// Incident SHORT: a group went out of service with the entry of one member.
+TEST_F(ServingEntryTest, UsesAGroupThatMovesForAPartOfTheDrainTimeOnly) {
+  SocketAddress Head = serve([](ScriptedConnection &Connection, int) {
+    Connection.send(
+        answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+  });
+  Instance Lapsing;
+  for (int Rank = 0; Rank < 4; ++Rank) {
+    Lapsing = member("m" + std::to_string(Rank), "large.7", 7, Rank,
+                     Rank == 0 ? MemberPhase::Open : MemberPhase::Ready);
+    Lapsing.Address = Head;
+    list(Lapsing);
+  }
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/stream/"), "data: x"));
+  list(Lapsing, true);
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/stream/"), "data: x"));
+  wait(Settings.Drain * 3 / 4);
+  int Before = Engines[0]->requests();
+  EXPECT_TRUE(ask("/stream/").starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(Engines[0]->requests(), Before);
+  list(Lapsing);
+  wait(milliseconds(20));
+  EXPECT_TRUE(served(ask("/stream/"), "data: x"));
+}
+
+TEST_F(ServingEntryTest, StopsUsingAnIdleGroupWhoseMemberLapses) {
+  Instance Lapsing;
+  for (int Rank = 0; Rank < 4; ++Rank) {
+    Lapsing = member("m" + std::to_string(Rank), "large.7", 7, Rank,
+                     Rank == 0 ? MemberPhase::Open : MemberPhase::Ready);
+    Lapsing.Address = serve([](ScriptedConnection &, int) {});
+    list(Lapsing);
+  }
+  wait(milliseconds(20));
+  list(Lapsing, true);
+  wait(milliseconds(20));
+  EXPECT_TRUE(ask("/stream/").starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(Engines[0]->requests(), 0);
+}
+
+} // namespace
+} // namespace samphirehill::serving
--- /dev/null
+++ b/test/Serving/TestWire.h
@@ -0,0 +1,58 @@
+// A wire with short names, and answers of scripted engines in it, for tests of
+// the serving path apart from any adapter.
+#ifndef SAMPHIREHILL_TEST_SERVING_TESTWIRE_H
+#define SAMPHIREHILL_TEST_SERVING_TESTWIRE_H
+
+#include "samphirehill/Serving/RequestWire.h"
+
+#include <string>
+
+namespace samphirehill::serving {
+
+inline RequestWire testWire() {
+  RequestWire Wire;
+  Wire.ReadRequest = [](const HttpRequest &Request) {
+    RequestFacts Facts;
+    Facts.Id = *findHeader(Request.Headers, "id");
+    Facts.Host = "h";
+    Facts.Model = "large";
+    Facts.TimeLeft = seconds(3);
+    return Facts;
+  };
+  Wire.Forward = [](const HttpRequest &Original, const SendFacts &Facts) {
+    HttpRequest Sent = Original;
+    if (Facts.LastEventId)
+      Sent.Headers.push_back({"last", std::to_string(*Facts.LastEventId)});
+    return Sent;
+  };
+  Wire.ReadAnswer = [](const HttpResponse &Answer) {
+    AnswerFacts Facts;
+    const std::string *Id = findHeader(Answer.Headers, "id");
+    Facts.Id = Id ? *Id : "";
+    Facts.Sealed = findHeader(Answer.Headers, "seal") != nullptr;
+    Facts.NotRun = findHeader(Answer.Headers, "notrun") != nullptr;
+    Facts.Leaving = findHeader(Answer.Headers, "leaving") != nullptr;
+    if (const std::string *Pause = findHeader(Answer.Headers, "quiet"))
+      Facts.QuietFor = milliseconds(std::stoi(*Pause));
+    return Facts;
+  };
+  Wire.OwnAnswer = [](int Status, const std::string &Id,
+                      std::optional<Duration> RetryAfter) {
+    HttpResponse Answer{Status, {{"id", Id}}, {}};
+    if (RetryAfter)
+      Answer.Headers.push_back({"retry", "yes"});
+    return Answer;
+  };
+  return Wire;
+}
+
+// Returns an answer with a length; Head holds its status and headers.
+inline std::string answer(const std::string &Head, const std::string &Body) {
+  return "HTTP/1.1 " + Head +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+} // namespace samphirehill::serving
+
+#endif // SAMPHIREHILL_TEST_SERVING_TESTWIRE_H
