Correct a test's comment; include what a test uses

The comment on GroupControllerTest's Report spoke of a default that doesn't exist, and EntryChangeTest used std::all_of without its header. Found by reading the whole change; no assertion is touched.

--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -35,7 +35,7 @@
     Instances.Instances[Listed.Id] = {Listed, {}, Timers.now()};
   }
 
-  // What an instance reports of itself; the default is what Instances hold.
+  // Returns what the asked instance reports of itself.
   using Report = std::function<Outcome<Instance>(const Instance &To)>;
 
   // Runs the duty after Begin for Limit, or until an order of kind Last was
--- a/test/System/EntryChangeTest.cpp
+++ b/test/System/EntryChangeTest.cpp
@@ -2,6 +2,8 @@
 // (I9).
 #include "Fleet.h"
 
+#include <algorithm>
+
 namespace samphirehill::system_test {
 namespace {
 
