Say where an entry learns what the platform's store says

For the incident CONFIG: entries answered by an older configuration, and no log line told whether such an entry followed the store, was told by a relay, or did neither. platform_lost and platform_regained tell calls that fail, not calls that are no longer made.

An entry now logs event=platform_source when that changes, with the kinds of objects that are not followed, and sets the gauge platform_followed. No decision reads it.

--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -49,6 +49,15 @@
   std::function<void()> ReadList;
   std::function<void()> ReadConfiguration;
   std::function<void()> ReadAll;
+  // Returns the kinds of objects that are not followed now, comma-separated.
+  std::function<std::string()> NotFollowed;
+};
+
+// Where an entry learns what the platform's store says.
+enum class PlatformSource {
+  None,  // nobody tells it, and it does not follow the store
+  Relay, // another entry tells it
+  Store,
 };
 
 class ServingEntry {
@@ -113,6 +122,8 @@
   void heard(const EntryReport &Report);
   void refreshLoad();
   void tick();
+  PlatformSource platformSource() const;
+  void notePlatformSource();
   bool ready() const;
   void answerReadiness(const std::shared_ptr<CallerRequest> &Request);
   void followRelay(const EntryReport &Report);
@@ -151,6 +162,8 @@
   ListSync Sync;
   std::int64_t ZonesOutRevision = 0;
   bool WasTold = false;
+  PlatformSource Source = PlatformSource::None;
+  std::string NotFollowed; // while Source is None
   bool PeersListed = false;
   TimePoint AskedForNewsAt{};
   Incarnation Life = 0;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -73,6 +73,18 @@
                     std::get<0>(Address), Share};
 }
 
+const char *toString(PlatformSource Source) {
+  switch (Source) {
+  case PlatformSource::None:
+    return "none";
+  case PlatformSource::Relay:
+    return "relay";
+  case PlatformSource::Store:
+    return "store";
+  }
+  return "unknown";
+}
+
 RetryBounds retryBounds(const ServingSettings &Settings, int Entries) {
   return {Settings.RetryRatio, Settings.RetrySlack, Settings.RetryWindow,
           Entries};
@@ -496,6 +508,29 @@
     Reader.ReadConfiguration();
 }
 
+PlatformSource ServingEntry::platformSource() const {
+  if (platformTold())
+    return PlatformSource::Relay;
+  bool Followed = Reader.FollowedRevision && Reader.FollowedRevision() > 0;
+  return Followed ? PlatformSource::Store : PlatformSource::None;
+}
+
+void ServingEntry::notePlatformSource() {
+  PlatformSource Now = platformSource();
+  std::string Missing = Now == PlatformSource::None && Reader.NotFollowed
+                            ? Reader.NotFollowed()
+                            : std::string();
+  if (Now == Source && Missing == NotFollowed)
+    return;
+  Source = Now;
+  NotFollowed = std::move(Missing);
+  spdlog::info("event=platform_source source={} not_followed=\"{}\" config={} "
+               "duty={}",
+               toString(Source), NotFollowed, Config ? Config->Version : 0,
+               Groups.holds());
+  Metrics.set("platform_followed", Source == PlatformSource::None ? 0 : 1);
+}
+
 void ServingEntry::tick() {
   TimePoint Now = Timers.now();
   bool Told = platformTold();
@@ -504,6 +539,7 @@
     Reader.ReadAll();
   }
   WasTold = Told;
+  notePlatformSource();
   forgetOldChanges(Changes, Now);
   forgetOldNotices(Book.Notices, Timers.nowWithSuspension());
   expire(Crashes, BreakOffShare, Now);
