Decide when to watch the platform's store in a plan without I/O

StoreWatch decided and called in one class, so the order of events that leaves a watch without a call could only be tried on sockets. WatchPlan holds the decisions as free functions over a plain struct; StoreWatch carries them out.

One difference: a list of several pages that fails midway is asked for from its beginning. Before, the revision of a page that had come was kept, and the changes after it were watched although the list had not been taken.

--- /dev/null
+++ b/lib/Serving/WatchPlan.cpp
@@ -0,0 +1,111 @@
+#include "samphirehill/Serving/WatchPlan.h"
+
+#include <algorithm>
+
+namespace samphirehill::serving {
+namespace {
+
+// Pause after failed calls, doubled up to the longest: refused calls are
+// priced.
+constexpr Duration FirstRetry = milliseconds(150);
+constexpr Duration LongestRetry = milliseconds(800);
+constexpr int MostDoublings = 6;
+// Entries live for three heartbeats; a shorter loss of contact lapses none.
+constexpr Duration OutageLength = milliseconds(1'000);
+
+WatchStep ask(WatchPlan &Plan, WatchCall Call) {
+  Plan.Phase =
+      Call == WatchCall::List ? WatchPhase::Listing : WatchPhase::Watching;
+  return {Call, {}};
+}
+
+WatchStep pause(WatchPlan &Plan, WatchCall Call, Duration Length) {
+  Plan.Phase = WatchPhase::Pausing;
+  return {Call, Length};
+}
+
+void noteAnswer(WatchPlan &Plan, std::int64_t Revision) {
+  Plan.Revision = Revision;
+  Plan.Contact = true;
+  Plan.Outage = false;
+  Plan.Failures = 0;
+}
+
+WatchStep next(WatchPlan &Plan, Duration Pause, const WatchView &View) {
+  if (View.Told) {
+    Plan.Phase = WatchPhase::Relying;
+    return {};
+  }
+  if (Pause == Duration::zero())
+    return ask(Plan, WatchCall::Watch);
+  return pause(Plan, WatchCall::Watch, Pause);
+}
+
+// Returns the call that finds out whether the store answers again. Its history
+// may bridge the gap; if not, it says so.
+WatchCall callAgain(WatchPlan &Plan, TimePoint Now) {
+  if (Now - Plan.LostAt >= OutageLength)
+    Plan.Outage = true;
+  return Plan.Outage || Plan.Revision == 0 ? WatchCall::List
+                                           : WatchCall::ShortWatch;
+}
+
+} // namespace
+
+WatchStep noteList(WatchPlan &Plan, std::int64_t Revision,
+                   const WatchView &View) {
+  noteAnswer(Plan, Revision);
+  return next(Plan, Duration::zero(), View);
+}
+
+WatchStep noteChanges(WatchPlan &Plan, std::int64_t Revision, bool Any,
+                      const WatchView &View) {
+  noteAnswer(Plan, Revision);
+  return next(Plan, Any ? View.Pause : Duration::zero(), View);
+}
+
+WatchStep noteHistoryGone(WatchPlan &Plan) {
+  return ask(Plan, WatchCall::List);
+}
+
+WatchStep noteFailure(WatchPlan &Plan, const WatchView &View) {
+  if (Plan.Contact || Plan.LostAt == TimePoint{})
+    Plan.LostAt = View.Now;
+  Plan.Contact = false;
+  if (Plan.Revision != 0 && View.Defer) {
+    Plan.Phase = WatchPhase::Deferring;
+    return {};
+  }
+  Duration Delay = std::min(
+      FirstRetry * (1 << std::min(Plan.Failures, MostDoublings)), LongestRetry);
+  ++Plan.Failures;
+  return pause(Plan, callAgain(Plan, View.Now + Delay), Delay);
+}
+
+void notePauseOver(WatchPlan &Plan, WatchCall Call) { ask(Plan, Call); }
+
+WatchStep renew(WatchPlan &Plan, const WatchView &View) {
+  switch (Plan.Phase) {
+  case WatchPhase::Relying:
+    return ask(Plan, WatchCall::ShortWatch);
+  case WatchPhase::Deferring:
+    return ask(Plan, callAgain(Plan, View.Now));
+  case WatchPhase::Listing:
+    return {};
+  case WatchPhase::Watching:
+  case WatchPhase::Pausing:
+    return Plan.Contact ? ask(Plan, WatchCall::ShortWatch) : WatchStep{};
+  }
+  return {};
+}
+
+void advance(WatchPlan &Plan, std::int64_t Revision) {
+  if (Plan.Phase == WatchPhase::Relying)
+    Plan.Revision = std::max(Plan.Revision, Revision);
+}
+
+bool follows(const WatchPlan &Plan) {
+  return Plan.Contact && Plan.Phase != WatchPhase::Relying;
+}
+
+} // namespace samphirehill::serving
