Let a call finish that asks the store for news already

News during a list was passed over.

A call that asks for the changes until now is left alone, and repeated once it is answered; only a watch that waits for a change is replaced. It costs fewer calls, which are priced.

--- a/include/samphirehill/Serving/WatchPlan.h
+++ b/include/samphirehill/Serving/WatchPlan.h
@@ -12,7 +12,8 @@
 
 enum class WatchPhase {
   Listing,   // a list is on its way
-  Watching,  // a watch is on its way
+  Watching,  // a watch is on its way, which waits for a change
+  Checking,  // one is on its way that asks for the changes until now
   Pausing,   // until the next call
   Relying,   // another entry tells the changes
   Deferring, // another watch finds out when the store answers again
@@ -25,6 +26,7 @@
   bool Outage = false;       // lost long enough for entries to lapse
   int Failures = 0;          // calls since the last answer
   TimePoint LostAt{};
+  bool Behind = false; // there may be news since the call on its way was made
 
   bool operator==(const WatchPlan &) const = default;
 };
@@ -67,7 +69,8 @@
 WatchStep noteFailure(WatchPlan &Plan, const WatchView &View);
 // The pause before Call is over.
 void notePauseOver(WatchPlan &Plan, WatchCall Call);
-// There may be news: the store is to be asked at once.
+// There may be news: the store is to be asked at once, or again after a call
+// that is about to be answered.
 WatchStep renew(WatchPlan &Plan, const WatchView &View);
 // Asks again if the plan makes no calls for a reason that no longer holds. Call
 // it periodically: the reason may come and go between two events.
--- a/lib/Serving/WatchPlan.cpp
+++ b/lib/Serving/WatchPlan.cpp
@@ -13,9 +13,22 @@
 // Entries live for three heartbeats; a shorter loss of contact lapses none.
 constexpr Duration OutageLength = milliseconds(1'000);
 
+WatchPhase phaseOf(WatchCall Call) {
+  switch (Call) {
+  case WatchCall::List:
+    return WatchPhase::Listing;
+  case WatchCall::ShortWatch:
+    return WatchPhase::Checking;
+  case WatchCall::Watch:
+  case WatchCall::None:
+    return WatchPhase::Watching;
+  }
+  return WatchPhase::Watching;
+}
+
 WatchStep ask(WatchPlan &Plan, WatchCall Call) {
-  Plan.Phase =
-      Call == WatchCall::List ? WatchPhase::Listing : WatchPhase::Watching;
+  Plan.Phase = phaseOf(Call);
+  Plan.Behind = false;
   return {Call, {}};
 }
 
@@ -32,6 +45,8 @@
 }
 
 WatchStep next(WatchPlan &Plan, Duration Pause, const WatchView &View) {
+  if (Plan.Behind)
+    return ask(Plan, WatchCall::ShortWatch);
   if (View.Told) {
     Plan.Phase = WatchPhase::Relying;
     return {};
@@ -90,7 +105,10 @@
     return ask(Plan, WatchCall::ShortWatch);
   case WatchPhase::Deferring:
     return ask(Plan, callAgain(Plan, View.Now));
+  // A store that answers slowly would never answer calls that are replaced.
   case WatchPhase::Listing:
+  case WatchPhase::Checking:
+    Plan.Behind = true;
     return {};
   case WatchPhase::Watching:
   case WatchPhase::Pausing:
--- a/test/Serving/WatchPlanTest.cpp
+++ b/test/Serving/WatchPlanTest.cpp
@@ -195,5 +195,38 @@
   EXPECT_TRUE(Found.empty()) << "after " << describe(Found);
 }
 
+TEST(WatchPlanTest, IsAnsweredByASlowStoreHoweverOftenRenewed) {
+  constexpr Duration Answering = milliseconds(500);
+  constexpr Duration RenewedEvery = milliseconds(300);
+  WatchPlan Plan;
+  WatchView View{TimePoint{seconds(10)}, false, false, {}};
+  noteList(Plan, 1, View);
+  TimePoint CalledAt = View.Now;
+  int Answers = 0;
+  for (Duration Elapsed{}; Elapsed < seconds(3); Elapsed += Step) {
+    View.Now += Step;
+    if (View.Now - CalledAt >= Answering) {
+      noteChanges(Plan, 2, true, View);
+      CalledAt = View.Now;
+      ++Answers;
+    }
+    if (Elapsed % RenewedEvery == Duration::zero() &&
+        renew(Plan, View).Call != WatchCall::None)
+      CalledAt = View.Now;
+  }
+  EXPECT_GE(Answers, 4);
+}
+
+TEST(WatchPlanTest, AsksAgainWhenNewsCameDuringACall) {
+  WatchPlan Plan;
+  WatchView View{TimePoint{seconds(10)}, true, false, {}};
+  EXPECT_EQ(renew(Plan, View), WatchStep{});
+  EXPECT_EQ(noteList(Plan, 1, View).Call, WatchCall::ShortWatch);
+  EXPECT_EQ(renew(Plan, View), WatchStep{});
+  EXPECT_EQ(noteChanges(Plan, 2, false, View).Call, WatchCall::ShortWatch);
+  EXPECT_EQ(noteChanges(Plan, 2, false, View), WatchStep{});
+  EXPECT_EQ(Plan.Phase, WatchPhase::Relying);
+}
+
 } // namespace
 } // namespace samphirehill::serving
