Log when a request was sent and first answered

The line event=finished told the whole time only, so time in an entry's queue and time in an engine's could not be told apart. It now gives sent_ms, first_ms and the first event as expected, before the fields that a reader with short lines loses.

--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -173,8 +173,11 @@
   FlowShared &shared() { return Owner.Shared; }
   const FlowShared &shared() const { return Owner.Shared; }
   TimePoint now() const { return Owner.Shared.Timers.now(); }
-  std::int64_t ageMs() const {
-    return toMilliseconds(now() - Caller->ReceivedAt);
+  std::int64_t ageMs() const { return sinceReceived(now()); }
+  // Returns the time from the request's arrival to At in milliseconds, or -1
+  // where At has not come.
+  std::int64_t sinceReceived(TimePoint At) const {
+    return At == TimePoint{} ? -1 : toMilliseconds(At - Caller->ReceivedAt);
   }
 
   bool authenticate() {
@@ -343,6 +346,8 @@
     if (!AwaitsFirst || !Running)
       return;
     AwaitsFirst = false;
+    if (FirstAt == TimePoint{})
+      FirstAt = now();
     noteFirstEvent(shared().Book, *Running, Facts.PromptTokens);
   }
 
@@ -606,10 +611,11 @@
     auto Level =
         Code == ResultCode::Ok ? spdlog::level::info : spdlog::level::warn;
     spdlog::log(Level,
-                "event=finished request={} outcome={} code={} attempts={} "
-                "runs={} after_ms={}",
-                Facts.Id, Outcome, static_cast<int>(Code), Attempts, Runs,
-                ageMs());
+                "event=finished request={} outcome={} sent_ms={} first_ms={} "
+                "expected_ms={} after_ms={} code={} attempts={} runs={}",
+                Facts.Id, Outcome, sinceReceived(AttemptAt),
+                sinceReceived(FirstAt), toMilliseconds(ExpectedFirst), ageMs(),
+                static_cast<int>(Code), Attempts, Runs);
     done();
   }
 
@@ -633,6 +639,7 @@
   TimePoint AttemptAt{};
   TimePoint HeardAt{};
   TimePoint EventAt{};
+  TimePoint FirstAt{};      // first event or answer of any attempt
   Duration ExpectedFirst{}; // from sending to the first event
   std::uint64_t Fingerprint = 0;
   std::optional<UpstreamKey> Running;
