Give any free place to requests that an upstream has worked on

Found on reading the sharing of places again: a stream that broke midway and is to be resumed is past its objective, so it would have been held back like a late one, and broken off where it found no place in time. It may take any free place now, as before; what is accepted is finished. The new test fails without the change.

--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -133,7 +133,8 @@
   const EngineShape *Engine = nullptr; // null: a plain service
   // This entry's part of what callers ask of the places, 0 to 1.
   double DemandPart = 1.0;
-  bool Late = false; // it can no longer meet its objective
+  bool Late = false;  // it can no longer meet its objective
+  bool Begun = false; // an upstream has worked on it: it takes any free place
   // Uniform in [0, 1): chooses among the upstreams that are expected to be
   // equally good once the other entries have sent what they send meanwhile.
   double Draw = 0;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -107,7 +107,7 @@
   }
 
   WaitingRequest waiting() const {
-    return {Number, priority(), startBy(), MayHaveRun || HeadForwarded};
+    return {Number, priority(), startBy(), begun()};
   }
 
   // Whether Other waits for the same places.
@@ -127,7 +127,7 @@
   // Refuses the request at once if all that could serve it have asked for a
   // pause and nothing of it has run. Returns whether it did.
   bool refuseIfQuiet() {
-    if (LastReason != NoPlace::Quiet || MayHaveRun || HeadForwarded)
+    if (LastReason != NoPlace::Quiet || begun())
       return false;
     giveUp(ResultCode::Overloaded, "all_quiet");
     return true;
@@ -204,6 +204,9 @@
     return Shape->Engine ? Facts.Model : std::string();
   }
 
+  // Whether an upstream has worked on it, or may have.
+  bool begun() const { return MayHaveRun || HeadForwarded; }
+
   // Returns when it must be sent to meet its objective.
   TimePoint startBy() const {
     auto Usual = Owner.FirstEvents.find(placeKind());
@@ -245,6 +248,7 @@
       Query.Objective = TheRoute->Objective;
       Query.DemandPart = demandPart();
       Query.Late = TheRoute->Objective > Duration::zero() && now() > startBy();
+      Query.Begun = begun();
     }
     return Query;
   }
@@ -520,8 +524,7 @@
   void checkWait(TimePoint Now) {
     Duration Limit =
         longestWait(Owner.Settings.Wait, LastReason, Deadline - WaitingSince);
-    bool Begun = MayHaveRun || HeadForwarded;
-    if (Shape->Engine && !Begun &&
+    if (Shape->Engine && !begun() &&
         waitsInVain(LastReason, WaitingSince, startBy(), Now))
       return giveUp(ResultCode::Overloaded, "late");
     if (Now - WaitingSince < Limit)
@@ -671,7 +674,7 @@
   TimePoint AttemptAt{};
   TimePoint HeardAt{};
   TimePoint EventAt{};
-  TimePoint FirstAt{};      // first event or answer of any attempt
+  TimePoint FirstAt{};      // first event, or end, of any attempt
   Duration ExpectedFirst{}; // from sending to the first event
   std::uint64_t Fingerprint = 0;
   std::optional<UpstreamKey> Running;
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -339,7 +339,8 @@
   bool AllAvoided = true;
   int Quiet = 0;
   Occupancy Filled;
-  bool Shared = Query.Engine && Book.Limits.NewsAge > Duration::zero();
+  bool Shared =
+      Query.Engine && !Query.Begun && Book.Limits.NewsAge > Duration::zero();
   for (const auto &[Key, State] : Book.Upstreams) {
     const Upstream &Known = State.Known;
     if (Known.Service != Query.Service || Known.Model != Query.Model ||
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -76,6 +76,18 @@
   }
 }
 
+// What an upstream has worked on is finished before new work begins.
+TEST_F(UpstreamBookTest, GivesAnyFreePlaceToARequestThatHasBegun) {
+  Book.Limits.NewsAge = milliseconds(400);
+  Query.DemandPart = 0.01;
+  Query.Late = true;
+  for (auto &[Key, State] : Book.Upstreams)
+    State.Own.Running = 25;
+  EXPECT_FALSE(place(Book, Query, Now).Chosen);
+  Query.Begun = true;
+  EXPECT_TRUE(place(Book, Query, Now).Chosen);
+}
+
 // With exact news a free place is free.
 TEST_F(UpstreamBookTest, FillsAllPlacesItSeesWhereNoOtherEntryIs) {
   for (auto &[Key, State] : Book.Upstreams)
