Log the prompt's shared parts and progress of attempts that break off

The adapter now reads the parts (without the last, which no other request has; at most 32), and event=attempt_failed gives parts, events and the time since the first event.

--- a/include/samphirehill/Serving/RequestWire.h
+++ b/include/samphirehill/Serving/RequestWire.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Serving/HttpMessage.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -16,6 +17,12 @@
 
 namespace samphirehill::serving {
 
+// Identifies a part of a prompt. Requests that begin alike share parts.
+using PromptPart = std::uint64_t;
+
+// Bounds the parts that are read from one request.
+inline constexpr std::size_t MaxPromptParts = 32;
+
 // What a caller's request states in its headers and body.
 struct RequestFacts {
   std::string Id;   // of this attempt of the caller
@@ -25,6 +32,9 @@
   std::optional<Duration> TimeLeft; // how long the caller will wait
   std::int64_t PromptTokens = 0;
   std::int64_t OutputTokens = 0; // upper bound
+  // Ids of the parts of the prompt that the request may share with others, in
+  // order; at most MaxPromptParts.
+  std::vector<PromptPart> SharedParts;
   // The last event that the caller has of a stream that it resumes.
   std::optional<std::int64_t> LastEventId;
 
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -4,6 +4,7 @@
 #include "samphirehill/Serving/EventSplitter.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -49,6 +50,11 @@
          (!Type || Type->starts_with("text/event-stream"));
 }
 
+// Returns the ids of Parts as they are logged.
+std::string toString(const std::vector<PromptPart> &Parts) {
+  return fmt::format("{:x}", fmt::join(Parts, ","));
+}
+
 std::uint64_t upstreamHash(const UpstreamKey &Key) {
   return combineHashes(hashBytes(Key.Instance.str()),
                        static_cast<std::uint64_t>(Key.Epoch));
@@ -305,6 +311,8 @@
     HeadSeen = false;
     Collected = {};
     AwaitsFirst = true;
+    AttemptEvents = 0;
+    AttemptBegunAt.reset();
     PlacementQuery Query = query();
     noteSent(shared().Book, Key, Query, AttemptStart);
     noteExpectedFirst(Key, Query);
@@ -425,6 +433,9 @@
   // Records the time to the first event, or the gap since the previous one.
   void noteEvents() {
     TimePoint Now = now();
+    ++AttemptEvents;
+    if (!AttemptBegunAt)
+      AttemptBegunAt = Now;
     if (AwaitsFirst) {
       noteFirstEvent(Owner.FirstEventTimes[serviceModel()], Now - AttemptStart);
       noteFirstEventOrEnd();
@@ -567,8 +578,12 @@
     UpstreamKey Key = *CurrentUpstream;
     bool Ran = Kind == ExchangeFailure::Broken;
     spdlog::warn("event=attempt_failed request={} attempt={} upstream={} "
-                 "sent={} head={} cause=\"{}\" after_ms={}",
-                 Facts.Id, Attempts, Key.Instance.str(), Ran, HeadSeen, Cause,
+                 "sent={} head={} events={} begun_ms={} parts={} cause=\"{}\" "
+                 "after_ms={}",
+                 Facts.Id, Attempts, Key.Instance.str(), Ran, HeadSeen,
+                 AttemptEvents,
+                 AttemptBegunAt ? toMilliseconds(now() - *AttemptBegunAt) : -1,
+                 toString(Facts.SharedParts), Cause,
                  toMilliseconds(now() - AttemptStart));
     endAttempt(true);
     Tried.insert(Key);
@@ -793,10 +808,12 @@
   bool ReachedUpstream = false; // an attempt has reached an upstream
   bool MayHaveRun = false;
   bool HeadSeen = false;
-  bool AwaitsFirst = false;      // this attempt has received no event yet
-  bool HeadForwarded = false;    // to the caller; its stream has begun
-  bool EndsWithClose = false;    // this attempt's answer states no length
-  bool ResumesStream = false;    // this attempt continues a stream
+  bool AwaitsFirst = false;   // this attempt has received no event yet
+  bool HeadForwarded = false; // to the caller; its stream has begun
+  bool EndsWithClose = false; // this attempt's answer states no length
+  int AttemptEvents = 0;      // reads of this attempt that completed events
+  std::optional<TimePoint> AttemptBegunAt; // its first event was received
+  bool ResumesStream = false;              // this attempt continues a stream
   bool ForwardedEvents = false;  // this attempt has completed an event
   bool RetriesExhausted = false; // the retry limit denied the last retry
   bool CallerDisconnected = false;
--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -40,6 +40,39 @@
   EXPECT_FALSE(Facts.LastEventId);
 }
 
+TEST(RequestsTest, ReadsSharedPartsOfPrompt) {
+  struct Case {
+    const char *Value;
+    std::vector<serving::PromptPart> Expected;
+  };
+  const Case Cases[] = {
+      {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
+      {"5c1e07a2:800, 91bd3f06:410, e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
+      {"ffffffffffffffff:1,2:1", {0xffffffffffffffff}},
+      {"1ffffffffffffffff:1,2:1,3:1", {2}}, // more than 64 bits
+      {"xyz:1,:1,,2:1,3:1", {2}},
+      {"2,3", {2}},
+      {"e4402b7d:250", {}}, // the request's own part
+      {"", {}},
+  };
+  for (const Case &Each : Cases) {
+    HttpRequest Request = callersRequest();
+    Request.Headers.push_back({"X-Samphirehill-Prefix-Hash", Each.Value});
+    EXPECT_EQ(requestWire().ReadRequest(Request).SharedParts, Each.Expected)
+        << Each.Value;
+  }
+}
+
+TEST(RequestsTest, BoundsSharedPartsOfPrompt) {
+  std::string Value;
+  for (int Part = 0; Part < 1'000; ++Part)
+    Value += "1:1,";
+  HttpRequest Request = callersRequest();
+  Request.Headers.push_back({"X-Samphirehill-Prefix-Hash", Value});
+  EXPECT_EQ(requestWire().ReadRequest(Request).SharedParts.size(),
+            serving::MaxPromptParts);
+}
+
 // The key is not forwarded, and the caller's values for its organisation and
 // the expected instance are replaced.
 TEST(RequestsTest, ForwardsUnchangedExceptForTheEntrysHeaders) {
