Add a failing test of parts of prompts that crash engines

The third crash is followed by a retry at a fourth engine, and the next request with the part is sent as well (RequestFlowTest.cpp: 503 expected, 200 received).

--- a/test/Serving/Loopback.h
+++ b/test/Serving/Loopback.h
@@ -88,6 +88,14 @@
 
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
   int requests() const { return Requests; }
+  // Ends like a process that crashes: closes all connections and listens no
+  // more.
+  void crash() {
+    std::error_code Failed;
+    Acceptor.close(Failed);
+    for (const std::shared_ptr<ScriptedConnection> &Each : Open)
+      Each->reset();
+  }
   const std::vector<std::shared_ptr<ScriptedConnection>> &connections() const {
     return Open;
   }
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -85,13 +85,36 @@
     return *Engines.back();
   }
 
-  void send(const std::string &Path) {
+  // Adds Count engines that crash when they run a request.
+  void addCrashingEngines(int Count) {
+    for (int Added = 0; Added < Count; ++Added) {
+      auto Self = std::make_shared<ScriptedServer *>();
+      *Self = &addEngine(PoolService, [this, Self](ScriptedConnection &, int) {
+        asio::post(Context, [Self] { (*Self)->crash(); });
+      });
+    }
+  }
+
+  // Sends a request with a body of its own and returns whether it is answered
+  // with Status.
+  bool isAnswered(const std::string &Headers, int Status) {
+    Received.clear();
+    Body += "x";
+    send("/stream/", Headers);
+    return awaitAnswer("HTTP/1.1 " + std::to_string(Status));
+  }
+
+  void send(const std::string &Path, const std::string &Headers = "") {
     Config.Routes = RouteTable::create(Routes);
     Flows.setConfiguration(std::make_shared<const Configuration>(Config));
     std::string Bytes = "POST " + Path +
                         "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
-                        "Content-Length: 0\r\n\r\n";
+                        "Content-Length: " +
+                        std::to_string(Body.size()) + "\r\n" + Headers +
+                        "\r\n" + Body;
     asio::write(Client, asio::buffer(Bytes));
+    if (std::exchange(Reading, true))
+      return;
     readMore();
   }
 
@@ -133,6 +156,8 @@
   asio::ip::tcp::socket Client;
   std::array<char, 4'096> Buffer;
   std::string Received;
+  std::string Body; // of the requests
+  bool Reading = false;
   bool Closed = false;
 };
 
@@ -706,5 +731,21 @@
   EXPECT_TRUE(awaitAnswer(" 401 "));
 }
 
+// Guards against requests of one kind, no two alike, that crash one engine
+// after the other.
+TEST_F(RequestFlowTest, RefusesPartThatCrashesEngines) {
+  addCrashingEngines(3);
+  ScriptedServer &Last =
+      addEngine(PoolService, [](ScriptedConnection &To, int) {
+        To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: a\n\n"));
+      });
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 502)); // crashes two engines
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 502)); // crashes the third one
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 503));
+  EXPECT_EQ(Last.requests(), 0);
+  EXPECT_TRUE(isAnswered("part: 8\r\n", 200));
+  EXPECT_EQ(Last.requests(), 1);
+}
+
 } // namespace
 } // namespace samphirehill::serving
--- a/test/Serving/TestWire.h
+++ b/test/Serving/TestWire.h
@@ -18,6 +18,8 @@
     Facts.Host = "h";
     Facts.Model = "large";
     Facts.TimeLeft = seconds(3);
+    if (const std::string *Part = findHeader(Request.Headers, "part"))
+      Facts.SharedParts = {std::stoull(*Part)};
     return Facts;
   };
   Wire.Forward = [](const HttpRequest &Original, const SendFacts &Facts) {
