Refuse requests with a part of a prompt that crashes engines

Callers saw requests of one kind broken off for as long as they came: engine after engine crashed (29 in 22 s), and the sound requests beside were lost with them (13 of 75 served).

Cause: a crash was held against the one request that was under way, known by target, key and body. No two requests with the bad part are alike, so no count ever reached its limit: evidence keyed by an identity finer than the cause. Beside it, what one entry learned of a crash reached neither its own next choice for long nor the other entries: 6,850 refused connections.

Now the shared parts of the prompt are held suspect (PartSuspects): those of requests that an engine had not begun to answer, or only just had, when it crashed. That the engine ended is confirmed by a connect that is refused, so an answer that merely breaks off, or a caller that does, accuses nobody; a suspect is not sent again before. A request that an engine answers and survives clears its parts of all crashes before. After three crashes (those in one domain within a second count once) without such proof the part is blamed at all entries: crashes and proofs go out with the reports, at once when an engine crashes, and merge in any order. Requests with the part that wait or that an engine has not begun are ended too. A proof alone releases a part; one entry at a time may send one trial after 10 s, then 60 s, 360 s. An engine known to have ended gets no requests while the list still shows it.

RequestFlowTest.RefusesPartThatCrashesEngines failed before.

Ruled out: a limit by request (no two alike); blame without proof (shared parts of sound requests are in 14 to 28 of the crashes); breaks as evidence without confirming the engine's end (engines that spoil answers live on).

--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
+#include "samphirehill/Serving/PartSuspects.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <cstdint>
@@ -49,6 +50,7 @@
   // Requests per second that callers send, by the upstreams that may serve
   // them.
   std::map<ServiceModel, double> Demands;
+  SuspectReport Suspects;
 
   bool operator==(const EntryReport &) const = default;
 };
--- a/include/samphirehill/Serving/Fleet.h
+++ b/include/samphirehill/Serving/Fleet.h
@@ -98,6 +98,7 @@
   std::string Model; // empty for plain services
   SocketAddress Address;
   ZoneId Zone;
+  std::string Domain; // fabric domain of the head; empty for plain services
   int Slots = 1;
   std::int64_t BornMilliseconds = 0; // of the instance that takes the requests
   TimePoint ColdUntil{};             // of the same instance
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -49,6 +49,10 @@
   // Adds an entry that the platform's store lists.
   void addPeer(const EntryDescription &Listed);
 
+  // Sends a report soon, ahead of the next period. For news that other entries
+  // need at once.
+  void sendSoon();
+
   const std::map<EntryId, PeerEntry> &peers() const { return Table.Peers; }
 
   // See PeerTable.
@@ -73,6 +77,7 @@
   void sendTo(const EntryId &Entry, const std::string &Bytes);
 
   TimerService &Timers;
+  TimerSubscription SoonTimer;
   std::function<EntryReport()> MakeReport;
   std::function<std::vector<ListChange>()> ChangesToSend;
   std::function<void(const EntryReport &)> OnReport;
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -9,6 +9,7 @@
 #include "samphirehill/Serving/CallerServer.h"
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/CrashRecord.h"
+#include "samphirehill/Serving/PartSuspects.h"
 #include "samphirehill/Serving/RequestWire.h"
 #include "samphirehill/Serving/RetryShare.h"
 #include "samphirehill/Serving/ServingMetrics.h"
@@ -61,12 +62,15 @@
   UpstreamBook &Book;
   RetryShare &Retries;
   CrashRecord &Crashes;
+  PartSuspects &Suspects;
   ServingMetrics &Metrics;
   RequestWire Wire;
   // Called for the head of each upstream answer, with what the answer states
   // about the upstream's instance (for example that it is leaving).
   std::function<void(const InstanceLife &From, const AnswerFacts &Answer)>
       OnAnswer;
+  // Called when an engine is found to have crashed.
+  std::function<void()> OnCrash;
 };
 
 class RequestFlow;
@@ -106,6 +110,11 @@
   void remove(const std::shared_ptr<RequestFlow> &Flow);
   // Returns a random number, uniform in [0, 1).
   double randomFraction();
+  // Finds out whether Engine, to which the connection of a request broke off,
+  // has crashed. Prompt holds the request's shared parts if it may be the
+  // cause, else nothing.
+  void checkCrash(const Upstream &Engine, std::vector<PromptPart> Prompt);
+  void noteEngineCrash(const EngineCrash &Crash);
 
   FlowShared Shared;
   FlowSettings Settings;
@@ -117,6 +126,10 @@
   std::map<ServiceModel, EventRate> ArrivalRates; // engine services only
   std::map<ServiceModel, FirstEventTime> FirstEventTimes;
   std::map<std::string, LongestCallerTimeout> LongestTimeouts; // by route
+  // Engines whose crash is being checked. Shared with the callbacks, which may
+  // outlive this object.
+  using CrashChecks = std::map<InstanceLife, EngineCrash>;
+  std::shared_ptr<CrashChecks> Checks = std::make_shared<CrashChecks>();
   TimerSubscription Sweep;
   std::minstd_rand Random;
   std::uint64_t NextNumber = 0;
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -142,6 +142,10 @@
   EntryReport makeReport();
   void applyReport(const EntryReport &Report);
   void refreshLoad();
+  // Takes over the crashes of engines that another entry reports.
+  void applySuspects(const SuspectReport &Report);
+  // Logs the parts of prompts that have come to be blamed or been released.
+  void logBlamedParts();
   void tick(); // periodic work, every TickPeriod
   PlatformSource platformSource() const;
   void updatePlatformSource();
@@ -170,6 +174,8 @@
   UpstreamBook Book;
   RetryShare Retries;
   CrashRecord Crashes;
+  PartSuspects Suspects;
+  std::set<PromptPart> BlamedParts; // as last logged
   std::shared_ptr<const Configuration> Config;
   RequestFlows Flows;
   CallerServer Callers;
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -198,6 +198,9 @@
   PlacementLimits Limits;
   std::map<UpstreamKey, UpstreamState> Upstreams;
   InstanceNotices Notices;
+  // Lives of instances that have ended, as far as is known, while the platform
+  // still lists them; and until when that is believed.
+  std::map<InstanceLife, TimePoint> Ended;
   // Requests per second that callers send to the peers.
   std::map<ServiceModel, double> PeerDemand;
 };
@@ -210,6 +213,18 @@
 bool maySend(const UpstreamBook &Book, const UpstreamKey &Key,
              TimePoint NowWithSuspension);
 
+// Records that Life ended at EndedAt: no request is placed there until the
+// platform's list has had time to show it.
+void noteLifeEnded(UpstreamBook &Book, const InstanceLife &Life,
+                   TimePoint EndedAt);
+
+// Returns whether Life has ended, as far as is known at Now.
+bool hasEnded(const UpstreamBook &Book, const InstanceLife &Life,
+              TimePoint Now);
+
+// Erases the records of ended lives that the list has had time to show.
+void eraseEndedLives(UpstreamBook &Book, TimePoint Now);
+
 // Replaces the set of usable upstreams. Upstreams that remain keep their state;
 // all others are erased.
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable);
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -22,6 +22,7 @@
 
 enum class ExchangeFailure {
   NotSent,         // no byte of the request left this process
+  Refused,         // not sent either, as nothing listens at the address
   ConnectTimedOut, // not sent either, as the peer did not answer the connect
   Broken,          // the peer may have run the request
 };
@@ -123,6 +124,12 @@
        std::function<void(Outcome<HttpResponse>)> Done,
        ExchangeOptions Options = {});
 
+  // Connects to Address and closes the connection without a request. Done gets
+  // whether the connection was refused: then no process listens there. False if
+  // it was accepted or not answered.
+  void checkRefuses(const SocketAddress &Address,
+                    std::function<void(bool Refused)> Done);
+
   // Closes the pooled connections to Address.
   void closeIdle(const SocketAddress &Address);
 
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -67,6 +67,54 @@
   return Change;
 }
 
+std::uint32_t ageOf(TimePoint At, TimePoint Now) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(toMilliseconds(Now - At), 0));
+}
+
+void encode(const SuspectReport &Report, TimePoint Now,
+            wire::EntryState &State) {
+  for (const EngineCrash &Each : Report.Crashes) {
+    wire::EngineCrash &Added = *State.add_crashes();
+    Added.set_instance(Each.Engine.Id.str());
+    Added.set_born_ms(Each.Engine.BornMilliseconds);
+    Added.set_domain(Each.Domain);
+    Added.set_age_ms(ageOf(Each.At, Now));
+    for (const std::vector<PromptPart> &Prompt : Each.Prompts)
+      Added.add_prompts()->mutable_parts()->Add(Prompt.begin(), Prompt.end());
+  }
+  for (const PartProof &Each : Report.Proofs) {
+    wire::PartProof &Added = *State.add_proofs();
+    Added.set_part(Each.Part);
+    Added.set_age_ms(ageOf(Each.BegunAt, Now));
+  }
+  for (const PartTrials &Each : Report.Trials) {
+    wire::PartTrials &Added = *State.add_trials();
+    Added.set_part(Each.Part);
+    Added.set_count(static_cast<std::uint32_t>(Each.Count));
+    Added.set_age_ms(ageOf(Each.LastAt, Now));
+  }
+}
+
+SuspectReport decodeSuspects(const wire::EntryState &State, TimePoint Now) {
+  SuspectReport Report;
+  for (const wire::EngineCrash &Each : State.crashes()) {
+    EngineCrash Crash{{InstanceId(Each.instance()), Each.born_ms()},
+                      Each.domain(),
+                      Now - milliseconds(Each.age_ms()),
+                      {}};
+    for (const wire::PromptParts &Prompt : Each.prompts())
+      Crash.Prompts.emplace_back(Prompt.parts().begin(), Prompt.parts().end());
+    Report.Crashes.push_back(std::move(Crash));
+  }
+  for (const wire::PartProof &Each : State.proofs())
+    Report.Proofs.push_back({Each.part(), Now - milliseconds(Each.age_ms())});
+  for (const wire::PartTrials &Each : State.trials())
+    Report.Trials.push_back({Each.part(), static_cast<int>(Each.count()),
+                             Now - milliseconds(Each.age_ms())});
+  return Report;
+}
+
 void encode(const EntryReport &Report, TimePoint Now, wire::EntryState &State) {
   State.set_entry(Report.Entry.str());
   State.set_incarnation(Report.Life);
@@ -113,6 +161,7 @@
     Added.set_model(Kind.Model);
     Added.set_per_second(PerSecond);
   }
+  encode(Report.Suspects, Now, State);
 }
 
 EntryReport decode(const wire::EntryState &State, TimePoint Now) {
@@ -149,6 +198,7 @@
   for (const wire::Demand &Each : State.demands())
     Report.Demands[{ServiceId(Each.service()), Each.model()}] =
         Each.per_second();
+  Report.Suspects = decodeSuspects(State, Now);
   return Report;
 }
 
@@ -184,6 +234,7 @@
     Sum.Demands[Kind] += PerSecond;
   Sum.BreakOffs.insert(Sum.BreakOffs.end(), Report.BreakOffs.begin(),
                        Report.BreakOffs.end());
+  addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
   if (std::pair(Report.DutyTerm, Report.DutyRenewal) >
       std::pair(Sum.DutyTerm, Sum.DutyRenewal)) {
--- a/lib/Serving/Fleet.cpp
+++ b/lib/Serving/Fleet.cpp
@@ -24,9 +24,11 @@
 Upstream makeUpstream(const InstanceRecord &Head, std::int64_t Epoch,
                       std::string Model) {
   const Instance &Listed = Head.Listed;
-  return Upstream{{Listed.Id, Epoch},      Listed.Service, std::move(Model),
-                  Listed.Address,          Listed.Zone,    Listed.Slots,
-                  Listed.BornMilliseconds, Head.ColdUntil, {Listed.Id}};
+  return Upstream{{Listed.Id, Epoch}, Listed.Service,
+                  std::move(Model),   Listed.Address,
+                  Listed.Zone,        Listed.Domain,
+                  Listed.Slots,       Listed.BornMilliseconds,
+                  Head.ColdUntil,     {Listed.Id}};
 }
 
 } // namespace
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace samphirehill::serving {
+namespace {
+
+// News of this time are sent together.
+constexpr Duration SoonDelay = milliseconds(20);
+
+} // namespace
 
 PeerGossip::PeerGossip(asio::io_context &Context, TimerService &Timers,
                        EntryDescription Own, PeerSettings Settings,
@@ -44,6 +50,15 @@
   Peer.ProcessorShare = Listed.ProcessorShare;
 }
 
+void PeerGossip::sendSoon() {
+  if (SoonTimer.active())
+    return;
+  SoonTimer = Timers.after(SoonDelay, [this] {
+    SoonTimer.cancel();
+    sendReports();
+  });
+}
+
 void PeerGossip::startReceive() {
   Socket.async_receive_from(
       asio::buffer(Buffer), Sender,
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -117,12 +117,46 @@
                  "config={} left_ms={}",
                  Facts.Id, Found->Name, Service->str(), Facts.Model,
                  Config->Version, toMilliseconds(Deadline - now()));
+    return !refuseIfBlamed();
+  }
+
+  // Ends the request if a part of its prompt is blamed for crashes of engines,
+  // unless it may be sent as a trial of that part. Returns whether it has
+  // ended.
+  bool refuseIfBlamed() {
+    PartSuspects &Suspects = shared().Suspects;
+    std::optional<PromptPart> Blamed =
+        Trial ? std::nullopt : blamedPart(Suspects, Facts.SharedParts);
+    if (!Blamed)
+      return false;
+    const PlacementLimits &Limits = shared().Book.Limits;
+    if (!hasBegun() && !CurrentUpstream &&
+        takeTrial(Suspects, *Blamed, Limits.Self, Limits.Others, now())) {
+      Trial = true;
+      shared().Metrics.count("blamed_part_requests", "result", "trial");
+      spdlog::warn("event=part_trial request={} part={:x}", Facts.Id, *Blamed);
+      return false;
+    }
+    noteRefused(Suspects, *Blamed, now());
+    shared().Metrics.count("blamed_part_requests", "result", "refused");
+    spdlog::info("event=part_refused request={} part={:x} engines={}", Facts.Id,
+                 *Blamed, Suspects.Parts.at(*Blamed).Crashes.size());
+    bool Sent = CurrentUpstream.has_value();
+    stopAttempt(false);
+    MayHaveRun = MayHaveRun || Sent;
+    if (hasBegun())
+      giveUp(ResultCode::CrashesUpstreams, "crashes_upstreams");
+    else
+      refuse(503, ResultCode::CrashesUpstreams, "crashes_upstreams",
+             CrashingRetryDelay);
     return true;
   }
 
   // Sends the request to the best upstream, if one may take it now and, for a
   // retry, the retry limit allows it. Returns whether it was sent.
   bool trySend() {
+    if (awaitsCrashCheck())
+      return false;
     PlacementQuery Query = query();
     Placement Found = place(shared().Book, Query, now());
     LastReason = Found.Reason;
@@ -181,6 +215,10 @@
       return deadlinePassed();
     if (State == FlowState::Waiting)
       return checkWait(Now);
+    // An engine may have yet to begin on a request that was sent before its
+    // part was blamed.
+    if (!AttemptBegunAt && refuseIfBlamed())
+      return;
     checkProgress(Now);
   }
 
@@ -293,6 +331,12 @@
     return Query;
   }
 
+  // Returns whether it is still being found out whether an engine has crashed,
+  // perhaps on this request.
+  bool awaitsCrashCheck() const {
+    return SuspectedOf && Owner.Checks->contains(*SuspectedOf);
+  }
+
   void send(const UpstreamKey &Key) {
     const Upstream &Chosen = shared().Book.Upstreams.at(Key).Info;
     SendFacts Sent;
@@ -313,6 +357,7 @@
     AwaitsFirst = true;
     AttemptEvents = 0;
     AttemptBegunAt.reset();
+    ProvedSound = false;
     PlacementQuery Query = query();
     noteSent(shared().Book, Key, Query, AttemptStart);
     noteExpectedFirst(Key, Query);
@@ -436,6 +481,8 @@
     ++AttemptEvents;
     if (!AttemptBegunAt)
       AttemptBegunAt = Now;
+    if (Now - *AttemptBegunAt >= shared().Suspects.Settings.SurvivalTime)
+      noteSound();
     if (AwaitsFirst) {
       noteFirstEvent(Owner.FirstEventTimes[serviceModel()], Now - AttemptStart);
       noteFirstEventOrEnd();
@@ -445,6 +492,15 @@
     LastEventAt = Now;
   }
 
+  // Records, once for each attempt, that the engine which began to answer this
+  // request lives on.
+  void noteSound() {
+    if (!Shape->Engine || std::exchange(ProvedSound, true))
+      return;
+    noteProof(shared().Suspects, Facts.SharedParts,
+              AttemptBegunAt.value_or(now()), now());
+  }
+
   // Records, once for each attempt, that the first event has been received or
   // that the attempt has ended: from then on the prompt is not pending.
   void noteFirstEventOrEnd() {
@@ -512,6 +568,7 @@
     Outcome<std::string> Rest = capture([&] { return endOfStream(); });
     if (const Error *Failed = errorOf(Rest))
       return attemptFailed(ExchangeFailure::Broken, Failed->Message);
+    noteSound();
     endAttempt(false);
     Caller->streamPart(std::get<0>(Rest));
     Caller->endStream();
@@ -531,6 +588,8 @@
     if (CollectedFacts.NotRun)
       return refusedByUpstream();
     bool Failed = Collected.Status >= 500;
+    if (Success)
+      noteSound();
     UpstreamKey Key = *CurrentUpstream;
     endAttempt(Failed);
     if (Failed && isRepeatable(*MatchedRoute) && retryAfterFailure(Key))
@@ -548,7 +607,8 @@
     ReachedUpstream = MayHaveRun = true;
     ++Runs;
     Tried.insert(Key);
-    if (!mayTryAgain())
+    if (!mayTryAgain() ||
+        blamedPart(shared().Suspects, Facts.SharedParts).has_value())
       return false;
     HttpResponse Failure = Collected;
     bool Sent = trySend();
@@ -585,6 +645,9 @@
                  AttemptBegunAt ? toMilliseconds(now() - *AttemptBegunAt) : -1,
                  toString(Facts.SharedParts), Cause,
                  toMilliseconds(now() - AttemptStart));
+    Trial = false;
+    if (Shape->Engine && (Ran || Kind == ExchangeFailure::Refused))
+      checkCrash(Key, Ran);
     endAttempt(true);
     Tried.insert(Key);
     if (!Ran) {
@@ -601,6 +664,24 @@
     retryBroken("broken");
   }
 
+  // Has the owner find out whether the engine Key has crashed. Ran: this
+  // request may have run there.
+  void checkCrash(const UpstreamKey &Key, bool Ran) {
+    auto Found = shared().Book.Upstreams.find(Key);
+    // An engine that is leaving may end while requests are in progress.
+    if (Found == shared().Book.Upstreams.end() ||
+        isLeaving(shared().Book.Notices, CurrentLife))
+      return;
+    bool Survived =
+        AttemptBegunAt &&
+        now() - *AttemptBegunAt >= shared().Suspects.Settings.SurvivalTime;
+    bool Suspect = Ran && !Survived && !Facts.SharedParts.empty();
+    if (Suspect)
+      SuspectedOf = CurrentLife;
+    Owner.checkCrash(Found->second.Info,
+                     Suspect ? Facts.SharedParts : std::vector<PromptPart>());
+  }
+
   void retryBroken(std::string_view Why) {
     if (isRepeatable(*MatchedRoute) && mayTryAgain() &&
         mayRun(shared().Crashes, Fingerprint, now()) && retry(Why))
@@ -623,7 +704,7 @@
     dropPartial(Splitter);
     shared().Metrics.count("retries", "reason", Why);
     RetriesExhausted = false;
-    if (trySend())
+    if (refuseIfBlamed() || trySend())
       return true;
     if (RetriesExhausted)
       return false;
@@ -813,7 +894,10 @@
   bool EndsWithClose = false; // this attempt's answer states no length
   int AttemptEvents = 0;      // reads of this attempt that completed events
   std::optional<TimePoint> AttemptBegunAt; // its first event was received
-  bool ResumesStream = false;              // this attempt continues a stream
+  std::optional<InstanceLife> SuspectedOf; // crash of the last attempt's engine
+  bool ProvedSound = false;   // this attempt has shown its parts to be sound
+  bool Trial = false;         // sent, or to be sent, although a part is blamed
+  bool ResumesStream = false; // this attempt continues a stream
   bool ForwardedEvents = false;  // this attempt has completed an event
   bool RetriesExhausted = false; // the retry limit denied the last retry
   bool CallerDisconnected = false;
@@ -868,6 +952,52 @@
   refuseExcess(*Flow);
 }
 
+void RequestFlows::checkCrash(const Upstream &Engine,
+                              std::vector<PromptPart> Prompt) {
+  InstanceLife Life = lifeOf(Engine);
+  TimePoint Now = Shared.Timers.now();
+  EngineCrash Seen{Life, Engine.Domain, Now, {}};
+  if (!Prompt.empty())
+    Seen.Prompts.push_back(std::move(Prompt));
+  if (Shared.Suspects.Crashes.contains(Life))
+    return noteEngineCrash(Seen);
+  auto [Place, IsNew] = Checks->try_emplace(Life, Seen);
+  if (!IsNew) {
+    std::vector<std::vector<PromptPart>> &Prompts = Place->second.Prompts;
+    Prompts.insert(Prompts.end(), Seen.Prompts.begin(), Seen.Prompts.end());
+    return;
+  }
+  Shared.Pool.checkRefuses(
+      Engine.Address,
+      [this, Life, Weak = std::weak_ptr<CrashChecks>(Checks)](bool Refused) {
+        if (Weak.expired())
+          return;
+        auto Checked = Checks->extract(Life);
+        if (Refused)
+          noteEngineCrash(Checked.mapped());
+        else
+          spdlog::info("event=engine_lives instance={} born={}", Life.Id.str(),
+                       Life.BornMilliseconds);
+        dispatchWaiting();
+      });
+}
+
+void RequestFlows::noteEngineCrash(const EngineCrash &Crash) {
+  TimePoint Now = Shared.Timers.now();
+  bool IsNew = !Shared.Suspects.Crashes.contains(Crash.Engine);
+  noteCrash(Shared.Suspects, Crash, Now);
+  noteLifeEnded(Shared.Book, Crash.Engine, Crash.At);
+  if (IsNew) {
+    Shared.Metrics.count("engine_crashes", "seen", "own");
+    spdlog::warn("event=engine_crashed instance={} born={} domain={} "
+                 "suspects={}",
+                 Crash.Engine.Id.str(), Crash.Engine.BornMilliseconds,
+                 Crash.Domain, Crash.Prompts.size());
+  }
+  if (Shared.OnCrash && (IsNew || !Crash.Prompts.empty()))
+    Shared.OnCrash();
+}
+
 void RequestFlows::refuseExcess(const RequestFlow &Newest) {
   std::vector<std::shared_ptr<RequestFlow>> Queue;
   std::vector<WaitingRequest> Ranked;
@@ -902,7 +1032,7 @@
     std::size_t Index = nextToServe(Ranked, Now);
     std::shared_ptr<RequestFlow> Next = Unsent[Index];
     Unsent.erase(Unsent.begin() + static_cast<std::ptrdiff_t>(Index));
-    if (!Next->trySend() && !Next->refuseIfQuiet())
+    if (!Next->refuseIfBlamed() && !Next->trySend() && !Next->refuseIfQuiet())
       StillWaiting.push_back(Next);
   }
   Waiting.insert(Waiting.end(), StillWaiting.begin(), StillWaiting.end());
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -128,12 +128,13 @@
                            const ServingSettings &Settings, Adapter Platform)
     : Timers(Timers), Pool(Pool), Settings(Settings),
       Platform(std::move(Platform)), Metrics(Metrics),
-      Flows(FlowShared{Timers, Pool, Book, Retries, Crashes, Metrics,
-                       this->Platform.Wire,
-                       [this](const InstanceLife &From,
-                              const AnswerFacts &Answer) {
-                         applyNotices(From, Answer);
-                       }},
+      Flows(FlowShared{
+                Timers, Pool, Book, Retries, Crashes, Suspects, Metrics,
+                this->Platform.Wire,
+                [this](const InstanceLife &From, const AnswerFacts &Answer) {
+                  applyNotices(From, Answer);
+                },
+                [this] { Peers.sendSoon(); }},
             flowSettings(Settings)),
       Callers(Context, Timers,
               [this](std::shared_ptr<CallerRequest> Request) {
@@ -459,6 +460,7 @@
   }
   Report.Demands = Flows.requestRates();
   Report.BreakOffs = Crashes.Recent;
+  Report.Suspects = suspectReport(Suspects, Now);
   if (Groups.isDutyHolder()) {
     Report.DutyTerm = Groups.dutyRecord().Term;
     Report.DutyRenewal = Groups.dutyRecord().Renewal;
@@ -483,6 +485,31 @@
   applyRelayReport(Report);
   for (const BreakOff &Each : Report.BreakOffs)
     noteBreakOff(Crashes, Each);
+  applySuspects(Report.Suspects);
+}
+
+void ServingEntry::applySuspects(const SuspectReport &Report) {
+  for (const EngineCrash &Each : Report.Crashes)
+    noteLifeEnded(Book, Each.Engine, Each.At);
+  serving::applySuspects(Suspects, Report, Timers.now());
+}
+
+void ServingEntry::logBlamedParts() {
+  std::set<PromptPart> Blamed = blamedParts(Suspects);
+  for (PromptPart Each : Blamed) {
+    if (BlamedParts.contains(Each))
+      continue;
+    std::string Engines;
+    for (const auto &[Life, At] : Suspects.Parts.at(Each).Crashes)
+      Engines += (Engines.empty() ? "" : ",") + Life.Id.str();
+    spdlog::warn("event=part_blamed part={:x} engines={}", Each, Engines);
+  }
+  for (PromptPart Each : BlamedParts) {
+    if (!Blamed.contains(Each))
+      spdlog::warn("event=part_released part={:x}", Each);
+  }
+  Metrics.set("blamed_parts", static_cast<double>(Blamed.size()));
+  BlamedParts = std::move(Blamed);
 }
 
 // Takes over the load and the stalled upstreams that other entries report.
@@ -567,6 +594,9 @@
   expireOldChanges(Changes, Now);
   eraseExpiredNotices(Book.Notices, Timers.nowWithSuspension());
   expire(Crashes, BreakOffSharing, Now);
+  expireSuspects(Suspects, Now);
+  eraseEndedLives(Book, Now);
+  logBlamedParts();
   refreshLoad();
   Book.Limits.ManyEntries = Peers.usesRelays();
   Book.Limits.ReportAge = Peers.meanLoadAge();
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -16,6 +16,8 @@
 constexpr double HighestSlowness = 20.0;
 // Burst size, in requests, of an entry's token bucket for a cold upstream.
 constexpr double ColdBurst = 1.0;
+// The list drops an instance that ended three heartbeats before.
+constexpr Duration EndedLifeMemory = seconds(5);
 
 // Returns how many requests this entry may send to a cold upstream at Now.
 // PerSecond is the limit over all entries; the entries use half of it.
@@ -284,6 +286,23 @@
   return {Of.Key.Instance, Of.BornMilliseconds};
 }
 
+void noteLifeEnded(UpstreamBook &Book, const InstanceLife &Life,
+                   TimePoint EndedAt) {
+  TimePoint &Until = Book.Ended[Life];
+  Until = std::max(Until, EndedAt + EndedLifeMemory);
+}
+
+bool hasEnded(const UpstreamBook &Book, const InstanceLife &Life,
+              TimePoint Now) {
+  auto Found = Book.Ended.find(Life);
+  return Found != Book.Ended.end() && Now < Found->second;
+}
+
+void eraseEndedLives(UpstreamBook &Book, TimePoint Now) {
+  std::erase_if(Book.Ended,
+                [&](const auto &Each) { return Now >= Each.second; });
+}
+
 bool maySend(const UpstreamBook &Book, const UpstreamKey &Key,
              TimePoint NowWithSuspension) {
   auto Found = Book.Upstreams.find(Key);
@@ -362,7 +381,8 @@
   for (const auto &[Key, State] : Book.Upstreams) {
     const Upstream &Info = State.Info;
     if (Info.Service != Query.Service || Info.Model != Query.Model ||
-        isLeaving(Book.Notices, lifeOf(Info)))
+        isLeaving(Book.Notices, lifeOf(Info)) ||
+        hasEnded(Book, lifeOf(Info), Now))
       continue;
     ++Result.Candidates;
     if (SharesSlots)
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -151,7 +151,7 @@
                            if (!Self->Busy)
                              return;
                            if (Failed)
-                             return Self->fail("connect: " + Failed.message());
+                             return Self->connectFailed(Failed);
                            Self->ConnectTimer.cancel();
                            Self->Connected = true;
                            prepareSocket(Self->Socket);
@@ -160,6 +160,12 @@
                          });
   }
 
+  void connectFailed(std::error_code Failed) {
+    fail("connect: " + Failed.message(),
+         Failed == asio::error::connection_refused ? ExchangeFailure::Refused
+                                                   : ExchangeFailure::NotSent);
+  }
+
   void write() {
     if (Options.StillAllowed && !Options.StillAllowed()) {
       asio::post(Pool->Context, [Self = shared_from_this()] {
@@ -466,4 +472,20 @@
     Connection->close();
 }
 
+void ExchangePool::checkRefuses(const SocketAddress &Address,
+                                std::function<void(bool Refused)> Done) {
+  ExchangeOptions Options;
+  Options.MaxIdle = Duration::zero(); // a new connection
+  Options.StillAllowed = [] { return false; };
+  ExchangeHandlers Handlers;
+  Handlers.OnHead = [](const HttpResponse &) { return false; };
+  Handlers.OnBody = [](std::string_view) {};
+  Handlers.OnEnd = [] {};
+  Handlers.OnFailure = [Done = std::move(Done)](ExchangeFailure Kind,
+                                                const std::string &) {
+    Done(Kind == ExchangeFailure::Refused);
+  };
+  start(Address, {}, Options, std::move(Handlers));
+}
+
 } // namespace samphirehill::serving
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -16,10 +16,18 @@
 protected:
   RequestFlowTest()
       : Timers(Context), Pool(Context, Timers),
-        Flows({Timers, Pool, Book, Retries, Crashes, Metrics, testWire(),
+        Flows({Timers,
+               Pool,
+               Book,
+               Retries,
+               Crashes,
+               Suspects,
+               Metrics,
+               testWire(),
                [this](const InstanceLife &From, const AnswerFacts &Answer) {
                  noteInstanceState(From, Answer);
-               }},
+               },
+               {}},
               flowSettings()),
         Callers(Context, Timers,
                 [this](std::shared_ptr<CallerRequest> Request) {
@@ -146,6 +154,7 @@
   UpstreamBook Book;
   RetryShare Retries;
   CrashRecord Crashes;
+  PartSuspects Suspects;
   ServingMetrics Metrics;
   Configuration Config;
   std::vector<Route> Routes; // of Config
