--- a/lib/Serving/PartSuspects.cpp
+++ b/lib/Serving/PartSuspects.cpp
@@ -158,14 +158,15 @@
   for (const std::vector<PromptPart> &Prompt : Crash.Prompts) {
     bool Listed = std::find(Known.Prompts.begin(), Known.Prompts.end(),
                             Prompt) != Known.Prompts.end();
-    if (Listed || Known.Prompts.size() >= Suspects.Settings.MaxPromptsPerCrash)
+    if (!Listed && Known.Prompts.size() >= Suspects.Settings.MaxPromptsPerCrash)
       continue;
-    Known.Prompts.push_back(Prompt);
-    Place->second.NotedAt = Now;
-  }
-  // Again for known prompts, so that a stale accusation is answered by a proof.
-  for (const std::vector<PromptPart> &Prompt : Crash.Prompts)
+    if (!Listed) {
+      Known.Prompts.push_back(Prompt);
+      Place->second.NotedAt = Now;
+    }
+    // Also for known prompts: a stale accusation is answered by a proof.
     accuse(Suspects, Known, Prompt, Now);
+  }
   if (Suspects.Crashes.size() > Suspects.Settings.MaxCrashes)
     dropOldestCrash(Suspects);
 }
