Report an answer that ends within its head as broken off on the own door

An engine that stops in the middle of its answer's head and closes gave a 200 with an empty body: libcurl reports no error if the connection ends there, and the status of an unfinished head is 0. The client now treats it as CURLE_PARTIAL_FILE, a BadAnswer. The platform's path was ruled out by the same test at every byte (RequestFlowTest.ForwardsNoAnswerThatBreaksOff, passed before). A complete head without a length whose connection then ends in order is complete by the protocol; one that is reset is not (tested before).

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -282,6 +282,9 @@
   }
 
   void finish(Transfer &Ended, CURLcode Code) {
+    // libcurl reports no error if the connection ends within the head.
+    if (Code == CURLE_OK && Ended.Response.Status < 200)
+      Code = CURLE_PARTIAL_FILE;
     Outcome<HttpResponse> Value = Code == CURLE_OK
                                       ? Outcome<HttpResponse>(Ended.Response)
                                       : describeFailure(Ended, Code);
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -1,8 +1,12 @@
 #include "samphirehill/Net/HttpClient.h"
 #include "samphirehill/Net/HttpServer.h"
 
+#include <asio/buffer.hpp>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 
 #include <gtest/gtest.h>
 
@@ -149,5 +153,68 @@
   EXPECT_FALSE(Called);
 }
 
+// A server that sends Bytes to each connection and closes it.
+class CutServer {
+public:
+  CutServer(asio::io_context &Context, std::string Bytes)
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Bytes(std::move(Bytes)) {
+    accept();
+  }
+  std::string url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor.local_endpoint().port()) + "/";
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](std::error_code Failed,
+                                 asio::ip::tcp::socket Socket) {
+      if (Failed)
+        return;
+      auto Open = std::make_shared<asio::ip::tcp::socket>(std::move(Socket));
+      auto Request = std::make_shared<std::string>();
+      asio::async_read_until(*Open, asio::dynamic_buffer(*Request), "\r\n\r\n",
+                             [this, Open, Request](std::error_code, size_t) {
+                               std::error_code Ignored;
+                               asio::write(*Open, asio::buffer(Bytes), Ignored);
+                               Open->close(Ignored);
+                             });
+      accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  std::string Bytes;
+};
+
+// Guards against an answer that broke off within its head and looks like a
+// success with an empty or short body.
+TEST_F(HttpTest, ReportsErrorWhenAnswerBreaksOff) {
+  const std::string Whole = "HTTP/1.1 200 OK\r\nX-Seal: s\r\n"
+                            "Content-Length: 5\r\n\r\nwhole";
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+    CutServer Cut(Context, Whole.substr(0, Size));
+    for (bool Streamed : {false, true}) {
+      HttpRequest Request;
+      Request.Url = Cut.url();
+      bool Done = false;
+      bool Failed = false;
+      auto OnDone = [&](const Outcome<HttpResponse> &Value) {
+        Done = true;
+        Failed = errorOf(Value) != nullptr;
+      };
+      HttpStreamCallbacks Callbacks;
+      Callbacks.OnDone = OnDone;
+      if (Streamed)
+        Client.stream(Request, Callbacks);
+      else
+        Client.send(Request, OnDone);
+      runUntil(Done);
+      EXPECT_TRUE(Failed) << Whole.substr(0, Size);
+    }
+  }
+}
+
 } // namespace
 } // namespace samphirehill
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -165,7 +165,8 @@
   asio::ip::tcp::socket Client;
   std::array<char, 4'096> Buffer;
   std::string Received;
-  std::string Body; // of the requests
+  std::string Body;   // of the requests
+  std::string Tested; // what an engine sends
   bool Reading = false;
   bool Closed = false;
 };
@@ -577,6 +578,25 @@
   EXPECT_EQ(Engines[0]->requests(), 1);
 }
 
+// Guards against a success with an empty or short body for an answer that broke
+// off, at any byte of its head or before its stated end.
+TEST_F(RequestFlowTest, ForwardsNoAnswerThatBreaksOff) {
+  const std::string Whole = answer("200 OK\r\nid: r1\r\nseal: s", "whole");
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+    Usable.clear();
+    Tested = Whole.substr(0, Size);
+    addEngine(PlainService, [this](ScriptedConnection &To, int) {
+      To.send(Tested);
+      To.close();
+    });
+    Received.clear();
+    Body += "x"; // or the request itself would be taken for the cause
+    send("/unsafe/");
+    ASSERT_TRUE(awaitAnswer("502")) << Tested;
+    EXPECT_EQ(Received.find("200"), std::string::npos) << Tested;
+  }
+}
+
 // What an engine answers in place of the rest of a stream.
 struct StreamCase {
   const char *Name;
