Let a planned stop cut no request off without an answer

Operators of a similar system saw it, and it happened here: an entry that was told to stop went on taking requests from open connections with all their time, and ended 0.7 s before the grace without answering what was still in progress, requests that must not be repeated among them.

Now a request is taken during a stop only if it will have been answered at its end: by the time that its caller allows, or, where it may be repeated, by the longest time that requests of its route have lately taken. Any other one gets 503 at once with Retry-After 0, as other entries serve: it has not run. What is still in progress at the end gets its answer, 502 if it may have run and 503 if not, and 150 ms to be written.

Both tests failed before (ServingEntryTest.RefusesRequestThatMayOutliveTheStop: passed on and cut; AnswersRequestsInProgressAtEndOfStop: no answer).

Ruled out: refusing everything from SIGTERM on, as the balancer sends new connections for two more seconds.

--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_set>
@@ -90,6 +91,14 @@
   // progress keep the one that they began with.
   void setConfiguration(std::shared_ptr<const Configuration> Config);
 
+  // From now on accepts only requests that will have been answered at EndsAt,
+  // when the process ends.
+  void beginStop(TimePoint EndsAt) { StopsAt = EndsAt; }
+
+  // Ends all requests in progress with an answer that says whether they may
+  // have run.
+  void endAll();
+
   // Sends waiting requests to upstreams that have room now. Call this after the
   // upstreams or their load have changed.
   void dispatchWaiting();
@@ -126,6 +135,8 @@
   std::map<ServiceModel, EventRate> ArrivalRates; // engine services only
   std::map<ServiceModel, FirstEventTime> FirstEventTimes;
   std::map<std::string, LongestCallerTimeout> LongestTimeouts; // by route
+  std::map<std::string, LongestAnswerTime> AnswerTimes;        // by route
+  std::optional<TimePoint> StopsAt; // set during a planned stop
   // Engines whose crash is being checked. Shared with the callbacks, which may
   // outlive this object.
   using CrashChecks = std::map<InstanceLife, EngineCrash>;
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -101,6 +101,23 @@
 Duration elapsedBeforeArrival(LongestCallerTimeout &Longest, Duration TimeLeft,
                               TimePoint Now);
 
+// The longest time that requests of a route have recently taken. Declines
+// towards shorter times.
+struct LongestAnswerTime {
+  Duration Value{};
+  bool Known = false; // whether any answer has been counted
+};
+
+// Counts an answer that was complete Observed after its request had arrived.
+void noteAnswerTime(LongestAnswerTime &Longest, Duration Observed);
+
+// Returns whether a request that arrives during a planned stop will have been
+// answered when the process ends after Left. A request that must not run twice
+// counts with all the time that its caller Allowed, any other with the longest
+// time that such requests take.
+bool endsBeforeStop(bool Repeatable, Duration Allowed,
+                    const LongestAnswerTime &Longest, Duration Left);
+
 // What decides the order in which waiting requests are served.
 struct WaitingRequest {
   std::uint64_t Number = 0; // in order of arrival
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -23,6 +23,8 @@
 // and of requests that have crashed upstreams.
 constexpr Duration NoConfigurationRetryDelay = milliseconds(500);
 constexpr Duration CrashingRetryDelay = seconds(5);
+// Other entries serve while this one stops.
+constexpr Duration StoppingRetryDelay{};
 
 const char *toString(PlacementFailure Reason) {
   switch (Reason) {
@@ -100,6 +102,10 @@
     ObjectiveStart =
         Received - elapsedBeforeArrival(Owner.LongestTimeouts[Found->Name],
                                         Allowed, now());
+    if (Owner.StopsAt &&
+        !endsBeforeStop(isRepeatable(*Found), Deadline - now(),
+                        Owner.AnswerTimes[Found->Name], *Owner.StopsAt - now()))
+      return refuse(ResultCode::ShuttingDown, "stopping", StoppingRetryDelay);
     const ServiceId *Service = pickService(*Found, Owner.randomFraction());
     if (!Service || !Config->Services.contains(*Service))
       return refuse(ResultCode::NoUpstream, "no_service",
@@ -240,6 +246,17 @@
   bool isCallerConnected() const { return !CallerDisconnected; }
   FlowState state() const { return State; }
 
+  // Ends the request at the end of a planned stop.
+  void endAtStop() {
+    bool Sent = CurrentUpstream.has_value();
+    stopAttempt(false);
+    MayHaveRun = MayHaveRun || Sent;
+    if (hasBegun())
+      giveUp(ResultCode::UpstreamLost, "stopped");
+    else
+      refuse(503, ResultCode::ShuttingDown, "stopped", StoppingRetryDelay);
+  }
+
   // Cancels the attempt without an answer to the caller, at shutdown.
   void discard() {
     stopAttempt(false);
@@ -572,6 +589,8 @@
     endAttempt(false);
     Caller->streamPart(std::get<0>(Rest));
     Caller->endStream();
+    noteAnswerTime(Owner.AnswerTimes[MatchedRoute->Name],
+                   now() - Caller->ReceivedAt);
     finish("served", ResultCode::Ok);
   }
 
@@ -597,6 +616,9 @@
     if (HeadForwarded)
       return abortStream("upstream failed");
     Caller->reply(Collected);
+    if (Success)
+      noteAnswerTime(Owner.AnswerTimes[MatchedRoute->Name],
+                     now() - Caller->ReceivedAt);
     finish(Success ? "served" : "upstream_failed", ResultCode::Ok);
   }
 
@@ -1039,6 +1061,13 @@
   Dispatching = false;
 }
 
+void RequestFlows::endAll() {
+  std::vector<std::shared_ptr<RequestFlow>> Open(Flows.begin(), Flows.end());
+  Waiting.clear(); // or a place that becomes free would be given to one of them
+  for (const std::shared_ptr<RequestFlow> &Flow : Open)
+    Flow->endAtStop();
+}
+
 void RequestFlows::sweep() {
   std::vector<std::shared_ptr<RequestFlow>> Open(Flows.begin(), Flows.end());
   for (const std::shared_ptr<RequestFlow> &Flow : Open)
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -42,6 +42,8 @@
 constexpr Duration StopCheckPeriod = milliseconds(100);
 // The process ends this long before the platform kills it.
 constexpr Duration GraceMargin = milliseconds(700);
+// Time in which the last answers are written.
+constexpr Duration StopFlushTime = milliseconds(150);
 // Number of entries assumed until the other entries are known: an entry then
 // uses only a small share of the limits that all entries share.
 constexpr int AssumedEntries = 64;
@@ -666,6 +668,7 @@
                Callers.connectionCount());
   Callers.beginClose();
   TimePoint StartedAt = Timers.now();
+  Flows.beginStop(StartedAt + Settings.Grace - GraceMargin);
   auto SharedDone = std::make_shared<std::function<void()>>(std::move(Done));
   Groups.stop([this, StartedAt, SharedDone] {
     Stopping = Timers.every(StopCheckPeriod, [this, StartedAt, SharedDone] {
@@ -679,8 +682,8 @@
         return;
       spdlog::info("event=stopped after_ms={} active={}",
                    toMilliseconds(Elapsed), Flows.activeCount());
-      Stopping.cancel();
-      (*SharedDone)();
+      Flows.endAll();
+      Stopping = Timers.after(StopFlushTime, [SharedDone] { (*SharedDone)(); });
     });
   });
 }
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -22,6 +22,10 @@
 
 // Weight of the newest observation in the moving average of FirstEventTime.
 constexpr double FirstEventWeight = 0.05;
+// Weight of a shorter answer in LongestAnswerTime.
+constexpr double ShorterAnswerWeight = 0.02;
+// Answers during a stop may take longer than the longest of late.
+constexpr double AnswerTimeMargin = 1.25;
 // The times that callers of one route allow for a first attempt differ by up to
 // a fifth. A caller that allows less has sent its request before.
 constexpr double SameTimeoutFraction = 0.8;
@@ -107,6 +111,21 @@
                                     : Longest.Value - TimeLeft;
 }
 
+void noteAnswerTime(LongestAnswerTime &Longest, Duration Observed) {
+  Duration Decline = std::chrono::duration_cast<Duration>(
+      (Longest.Value - Observed) * ShorterAnswerWeight);
+  Longest.Value = std::max(Observed, Longest.Value - Decline);
+  Longest.Known = true;
+}
+
+bool endsBeforeStop(bool Repeatable, Duration Allowed,
+                    const LongestAnswerTime &Longest, Duration Left) {
+  if (Allowed <= Left)
+    return true;
+  return Repeatable && Longest.Known &&
+         Longest.Value * AnswerTimeMargin <= Left;
+}
+
 std::size_t nextToServe(const std::vector<WaitingRequest> &Waiting,
                         TimePoint Now) {
   auto First = std::min_element(
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -32,6 +32,7 @@
     Configuration Config = testConfiguration();
     addRoute(Config, "/safe/", RequestKind::Safe, PlainService);
     addRoute(Config, "/stream/", RequestKind::Stream, PoolService);
+    addRoute(Config, "/unsafe/", RequestKind::Unsafe, PlainService);
     Entry->applyConfiguration(Config);
   }
 
@@ -125,6 +126,14 @@
     return Received;
   }
 
+  // Stops the entry with Grace and ends it like a process when it has stopped.
+  void stop(Duration Grace) {
+    ServingSettings Changed = Settings;
+    Changed.Grace = Grace;
+    Entry->reload(Changed);
+    Entry->shutDown([this] { asio::post(Context, [this] { Entry.reset(); }); });
+  }
+
   static bool succeededWith(const std::string &Answer,
                             const std::string &Body) {
     return Answer.starts_with("HTTP/1.1 200") &&
@@ -215,5 +224,44 @@
   EXPECT_EQ(Engines[0]->requests(), 0);
 }
 
+// Guards against requests that are passed on late in a planned stop and cut off
+// at its end. The caller waits for 3 s.
+TEST_F(ServingEntryTest, RefusesRequestThatMayOutliveTheStop) {
+  TimerSubscription AnswerTimer;
+  plainInstance("i1", "north", [&](ScriptedConnection &Connection, int) {
+    AnswerTimer = Timers.after(seconds(2), [&Connection] {
+      Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "late"));
+    });
+  });
+  runFor(milliseconds(20));
+  stop(seconds(4));
+  runFor(seconds(2));
+  EXPECT_TRUE(post("/unsafe/").starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(Engines[0]->requests(), 0);
+}
+
+TEST_F(ServingEntryTest, AcceptsRequestThatEndsBeforeTheStop) {
+  plainInstance("i1", "north", [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "done"));
+  });
+  runFor(milliseconds(20));
+  EXPECT_TRUE(succeededWith(post("/safe/"), "done")); // usually takes no time
+  stop(seconds(4));
+  EXPECT_TRUE(succeededWith(post("/unsafe/"), "done"));
+  runFor(milliseconds(1'500));
+  EXPECT_TRUE(succeededWith(post("/safe/"), "done"));
+}
+
+// A request that is still in progress at the end gets an answer that tells the
+// truth: it may have run.
+TEST_F(ServingEntryTest, AnswersRequestsInProgressAtEndOfStop) {
+  plainInstance("i1", "north", [](ScriptedConnection &, int) {});
+  runFor(milliseconds(20));
+  TimerSubscription StopTimer =
+      Timers.after(milliseconds(200), [this] { stop(seconds(3)); });
+  EXPECT_TRUE(post("/unsafe/").starts_with("HTTP/1.1 502"));
+  EXPECT_EQ(Engines[0]->requests(), 1);
+}
+
 } // namespace
 } // namespace samphirehill::serving
