Only avoid an engine that another entry found to have ended

A cut between zones that refuses connections looks like a crash to the entries behind it. With the fix of the blame an entry excluded each engine that any other one had found refusing, so such a cut would have closed sound engines to the entries that reach them. Now only an entry's own refused connect excludes an engine; a report makes it the last choice, and not even that if it has answered here since.

Found by reading the change; UpstreamBookTest and RequestFlowTest gain the cases, and tests of queued requests, trials and answers that merely break off.

--- a/include/samphirehill/Serving/PartSuspects.h
+++ b/include/samphirehill/Serving/PartSuspects.h
@@ -125,8 +125,9 @@
 // several entries report about one crash is merged.
 void noteCrash(PartSuspects &Suspects, const EngineCrash &Crash, TimePoint Now);
 
-// Records that each of Parts is sound as of BegunAt.
-void noteProof(PartSuspects &Suspects, std::span<const PromptPart> Parts,
+// Records that each of Parts is sound as of BegunAt. Returns whether that
+// clears one of them of crashes.
+bool noteProof(PartSuspects &Suspects, std::span<const PromptPart> Parts,
                TimePoint BegunAt, TimePoint Now);
 
 // Returns the part for which a request with these shared parts must not be sent
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -70,8 +70,9 @@
   // about the upstream's instance (for example that it is leaving).
   std::function<void(const InstanceLife &From, const AnswerFacts &Answer)>
       OnAnswer;
-  // Called when an engine is found to have crashed.
-  std::function<void()> OnCrash;
+  // Called when Suspects holds news that the other entries need at once: a
+  // crash, or that a part which was suspected is sound.
+  std::function<void()> OnSuspectNews;
 };
 
 class RequestFlow;
--- a/lib/Serving/PartSuspects.cpp
+++ b/lib/Serving/PartSuspects.cpp
@@ -171,8 +171,9 @@
     dropOldestCrash(Suspects);
 }
 
-void noteProof(PartSuspects &Suspects, std::span<const PromptPart> Parts,
+bool noteProof(PartSuspects &Suspects, std::span<const PromptPart> Parts,
                TimePoint BegunAt, TimePoint Now) {
+  bool Cleared = false;
   for (PromptPart Each : Parts) {
     auto Accused = Suspects.Parts.find(Each);
     auto Proof = Suspects.Proofs.find(Each);
@@ -188,11 +189,12 @@
     if (Accused == Suspects.Parts.end())
       continue;
     Proof->second.NotedAt = Now;
-    std::erase_if(Accused->second.Crashes,
-                  [&](const auto &Crash) { return Crash.second <= BegunAt; });
+    auto Before = [&](const auto &Crash) { return Crash.second <= BegunAt; };
+    Cleared |= std::erase_if(Accused->second.Crashes, Before) > 0;
     if (Accused->second.Crashes.empty())
       Suspects.Parts.erase(Accused);
   }
+  return Cleared;
 }
 
 std::optional<PromptPart> blamedPart(const PartSuspects &Suspects,
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -514,8 +514,10 @@
   void noteSound() {
     if (!Shape->Engine || std::exchange(ProvedSound, true))
       return;
-    noteProof(shared().Suspects, Facts.SharedParts,
-              AttemptBegunAt.value_or(now()), now());
+    bool Cleared = noteProof(shared().Suspects, Facts.SharedParts,
+                             AttemptBegunAt.value_or(now()), now());
+    if (Cleared && shared().OnSuspectNews)
+      shared().OnSuspectNews();
   }
 
   // Records, once for each attempt, that the first event has been received or
@@ -1016,8 +1018,8 @@
                  Crash.Engine.Id.str(), Crash.Engine.BornMilliseconds,
                  Crash.Domain, Crash.Prompts.size());
   }
-  if (Shared.OnCrash && (IsNew || !Crash.Prompts.empty()))
-    Shared.OnCrash();
+  if (Shared.OnSuspectNews && (IsNew || !Crash.Prompts.empty()))
+    Shared.OnSuspectNews();
 }
 
 void RequestFlows::refuseExcess(const RequestFlow &Newest) {
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -491,8 +491,10 @@
 }
 
 void ServingEntry::applySuspects(const SuspectReport &Report) {
-  for (const EngineCrash &Each : Report.Crashes)
-    noteLifeEnded(Book, Each.Engine, Each.At);
+  for (const EngineCrash &Each : Report.Crashes) {
+    if (!Suspects.Crashes.contains(Each.Engine))
+      noteLifeReportedEnded(Book, Each.Engine, Each.At);
+  }
   serving::applySuspects(Suspects, Report, Timers.now());
 }
 
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -17,7 +17,7 @@
 // Burst size, in requests, of an entry's token bucket for a cold upstream.
 constexpr double ColdBurst = 1.0;
 // The list drops an instance that ended three heartbeats before.
-constexpr Duration EndedLifeMemory = seconds(5);
+constexpr Duration EndedLifeMemory = seconds(4);
 
 // Returns how many requests this entry may send to a cold upstream at Now.
 // PerSecond is the limit over all entries; the entries use half of it.
@@ -292,6 +292,18 @@
   Until = std::max(Until, EndedAt + EndedLifeMemory);
 }
 
+void noteLifeReportedEnded(UpstreamBook &Book, const InstanceLife &Life,
+                           TimePoint EndedAt) {
+  for (auto &[Key, State] : Book.Upstreams) {
+    TimePoint Until = EndedAt + EndedLifeMemory;
+    if (lifeOf(State.Info) != Life || State.LastAnswerAt > EndedAt ||
+        State.AvoidUntil >= Until)
+      continue;
+    State.Avoid = AvoidReason::Unreachable;
+    State.AvoidUntil = Until;
+  }
+}
+
 bool hasEnded(const UpstreamBook &Book, const InstanceLife &Life,
               TimePoint Now) {
   auto Found = Book.Ended.find(Life);
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -33,6 +33,12 @@
   Report.ZonesOut = {ZoneId("south")};
   Report.ZonesOutRevision = 6;
   Report.SummedZones = {ZoneId("west")};
+  Report.Suspects = {{{{InstanceId("i-7"), 70},
+                       "north-d0",
+                       TimePoint{seconds(8)},
+                       {{1, 0xffffffffffffffff}, {3}}}},
+                     {{4, TimePoint{seconds(7)}}},
+                     {{5, 2, TimePoint{seconds(6)}}}};
   Report.Demands = {{{PoolService, "large"}, 12.5}, {{PlainService, ""}, 1}};
   return Report;
 }
--- a/test/Serving/PartSuspectsTest.cpp
+++ b/test/Serving/PartSuspectsTest.cpp
@@ -117,6 +117,14 @@
   EXPECT_EQ(blamed(Suspects, {1, 9}), 1U);
 }
 
+TEST(PartSuspectsTest, TellsWhetherProofClearsAPart) {
+  PartSuspects Suspects;
+  noteCrashes(Suspects, 1, 1, {7});
+  EXPECT_FALSE(noteProof(Suspects, Prompt{8}, Start, Start));
+  EXPECT_FALSE(noteProof(Suspects, Prompt{7}, Start, Start));
+  EXPECT_TRUE(noteProof(Suspects, Prompt{7}, Start + seconds(3), Start));
+}
+
 TEST(PartSuspectsTest, CrashWithoutSuspectsAccusesNobody) {
   PartSuspects Suspects;
   for (int Number = 1; Number <= 5; ++Number)
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -112,6 +112,17 @@
     return awaitAnswer("HTTP/1.1 " + std::to_string(Status));
   }
 
+  // Has Part blamed for crashes of three engines elsewhere.
+  void blame(PromptPart Part) {
+    for (int Number = 0; Number < 3; ++Number)
+      noteCrash(Suspects,
+                {{InstanceId("gone-" + std::to_string(Number)), 1},
+                 std::to_string(Number),
+                 Timers.now(),
+                 {{Part}}},
+                Timers.now());
+  }
+
   void send(const std::string &Path, const std::string &Headers = "") {
     Config.Routes = RouteTable::create(Routes);
     Flows.setConfiguration(std::make_shared<const Configuration>(Config));
@@ -578,6 +589,47 @@
   EXPECT_EQ(Engines[0]->requests(), 1);
 }
 
+// An engine that breaks off answers but lives on was crashed by nothing.
+TEST_F(RequestFlowTest, BlamesNoPartForAnswersThatBreakOff) {
+  for (int Added = 0; Added < 6; ++Added)
+    addEngine(PoolService, [](ScriptedConnection &To, int) { To.reset(); });
+  for (int Sent = 0; Sent < 3; ++Sent)
+    EXPECT_TRUE(isAnswered("part: 7\r\n", 502));
+  EXPECT_TRUE(Suspects.Crashes.empty());
+  EXPECT_FALSE(blamedPart(Suspects, std::vector<PromptPart>{7}));
+}
+
+// The request waits at the engine while others crash on the same part.
+TEST_F(RequestFlowTest, EndsRequestThatEngineHasNotBegunWhenPartIsBlamed) {
+  ScriptedServer &Engine =
+      addEngine(PoolService, [](ScriptedConnection &, int) {});
+  send("/stream/", "part: 7\r\n");
+  ASSERT_TRUE(runUntil(Context, [&] { return Engine.requests() == 1; }));
+  blame(7);
+  EXPECT_TRUE(awaitAnswer("502")); // it may have run
+  EXPECT_TRUE(runUntil(
+      Context, [&] { return Engine.connections().front()->PeerClosed; }));
+}
+
+TEST_F(RequestFlowTest, SendsOneTrialWhichReleasesBlamedPart) {
+  TimerSubscription EndTimer;
+  ScriptedServer &Engine =
+      addEngine(PoolService, [&](ScriptedConnection &To, int) {
+        To.send(StreamHead + chunk("id: 1\ndata: a\n\n"));
+        EndTimer = Timers.after(milliseconds(50),
+                                [&To] { To.send(std::string(LastChunk)); });
+      });
+  blame(7);
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 503));
+  EXPECT_EQ(Engine.requests(), 0);
+  Suspects.Settings.TrialDelay = Duration::zero();
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 200));
+  EXPECT_TRUE(awaitAnswer("\r\n0\r\n"));
+  Suspects.Settings.TrialDelay = seconds(10);
+  EXPECT_FALSE(blamedPart(Suspects, std::vector<PromptPart>{7}));
+  EXPECT_TRUE(isAnswered("part: 7\r\n", 200));
+}
+
 // Guards against a success with an empty or short body for an answer that broke
 // off, at any byte of its head or before its stated end.
 TEST_F(RequestFlowTest, ForwardsNoAnswerThatBreaksOff) {
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -276,5 +276,41 @@
   EXPECT_EQ(Book.Upstreams.size(), 1u);
 }
 
+// Guards against the thousands of refused connections that one crashed engine
+// caused while the list still showed it.
+TEST_F(UpstreamBookTest, PlacesNothingAtEndedLifeUntilListHasHadTime) {
+  InstanceLife Ended = lifeOf(Usable[0]);
+  noteLifeEnded(Book, Ended, Now);
+  Query.Tried = {key(1), key(2)};
+  EXPECT_FALSE(place(Book, Query, Now).Chosen);
+  EXPECT_FALSE(place(Book, Query, Now + seconds(3)).Chosen);
+  EXPECT_TRUE(place(Book, Query, Now + seconds(5)).Chosen);
+  eraseEndedLives(Book, Now + seconds(5));
+  EXPECT_TRUE(Book.Ended.empty());
+}
+
+TEST_F(UpstreamBookTest, PlacesAtNewLifeOfEndedInstance) {
+  noteLifeEnded(Book, lifeOf(Usable[0]), Now);
+  Usable[0].BornMilliseconds = 2;
+  updateUpstreams(Book, Usable);
+  Query.Tried = {key(1), key(2)};
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(0));
+}
+
+// The path of the reporting entry may be cut, and not the engine gone.
+TEST_F(UpstreamBookTest, AvoidsLifeThatAnotherEntryReportsAsEnded) {
+  noteLifeReportedEnded(Book, lifeOf(Usable[0]), Now);
+  for (int Try = 0; Try < 20; ++Try)
+    EXPECT_NE(place(Book, Query, Now).Chosen, key(0));
+  Query.Tried = {key(1), key(2)};
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(0));
+}
+
+TEST_F(UpstreamBookTest, KeepsUsingUpstreamThatAnswersAfterReportedEnd) {
+  noteProgress(Book, key(0), Now + milliseconds(10));
+  noteLifeReportedEnded(Book, lifeOf(Usable[0]), Now);
+  EXPECT_EQ(Book.Upstreams.at(key(0)).Avoid, AvoidReason::None);
+}
+
 } // namespace
 } // namespace samphirehill::serving
