--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -38,13 +38,6 @@
   return "unknown";
 }
 
-// Returns whether an answer's headers state where its body ends. If not, the
-// body ends when the connection closes.
-bool hasLength(const HeaderList &Headers) {
-  return findHeader(Headers, "content-length") != nullptr ||
-         findHeader(Headers, "transfer-encoding") != nullptr;
-}
-
 // Returns whether the body of an answer may be an event stream.
 bool mayHoldEvents(const HttpResponse &Head) {
   const std::string *Type = findHeader(Head.Headers, "content-type");
@@ -911,7 +904,6 @@
   bool HeadSeen = false;
   bool AwaitsFirst = false;   // this attempt has received no event yet
   bool HeadForwarded = false; // to the caller; its stream has begun
-  bool EndsWithClose = false; // this attempt's answer states no length
   int AttemptEvents = 0;      // reads of this attempt that completed events
   std::optional<TimePoint> AttemptBegunAt; // its first event was received
   std::optional<InstanceLife> SuspectedOf; // crash of the last attempt's engine
--- a/test/Serving/EventSplitterTest.cpp
+++ b/test/Serving/EventSplitterTest.cpp
@@ -88,5 +88,21 @@
   RC_ASSERT(takeRest(Splitter).empty());
 }
 
+TEST(EventSplitterTest, TakesOnlyCommentsAfterLastEvent) {
+  struct Case {
+    const char *Rest;
+    bool Complete;
+  };
+  for (const Case &Each :
+       {Case{"", true}, Case{": comment\n", true}, Case{"id: 2", false},
+        Case{"id: 2\ndata: b\n", false}, Case{"data", false},
+        Case{"text", false}}) {
+    EventSplitter Splitter;
+    takeEvents(Splitter, "id: 1\ndata: a\n\n" + std::string(Each.Rest));
+    EXPECT_EQ(takeRest(Splitter), Each.Complete ? Each.Rest : "") << Each.Rest;
+    EXPECT_EQ(Splitter.Malformed, !Each.Complete) << Each.Rest;
+  }
+}
+
 } // namespace
 } // namespace samphirehill::serving
