Move the blame of parts to lib/Limits, for both doors

The own door's record of crashes has the same fault, so the decision stands in the library that both can use; lib/Serving uses lib/Limits now. Crashes are named by CrashId as there. No change of behaviour but one: whether to ask an engine that broke off is decided by what this entry itself knows of it.

--- a/include/samphirehill/Serving/PartSuspects.h
+++ b/include/samphirehill/Limits/PartSuspects.h
@@ -11,13 +11,12 @@
 //
 // A blamed part is released by a proof only: of a request that already ran, or
 // of a trial, one request that one entry may send after a delay.
-#ifndef SAMPHIREHILL_SERVING_PARTSUSPECTS_H
-#define SAMPHIREHILL_SERVING_PARTSUSPECTS_H
+#ifndef SAMPHIREHILL_LIMITS_PARTSUSPECTS_H
+#define SAMPHIREHILL_LIMITS_PARTSUSPECTS_H
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
-#include "samphirehill/Serving/InstanceNotices.h"
-#include "samphirehill/Serving/RequestWire.h"
+#include "samphirehill/Limits/CrashSuspects.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,11 +28,14 @@
 #include <unordered_map>
 #include <vector>
 
-namespace samphirehill::serving {
+namespace samphirehill {
 
-// The unplanned end of an engine's life.
+// Identifies a part of a prompt. Requests that begin alike share parts.
+using PromptPart = std::uint64_t;
+
+// The unplanned end of an engine's process.
 struct EngineCrash {
-  InstanceLife Engine;
+  CrashId Engine;
   std::string Domain; // the engine's fabric domain; empty: unknown
   TimePoint At{};
   // The shared parts of each request that may have caused the crash.
@@ -95,14 +97,14 @@
 };
 
 // A crash and when this entry came to know of it.
-struct KnownCrash {
+struct RecordedCrash {
   EngineCrash Crash;
   TimePoint NotedAt{};
 };
 
 // The crashes that count against one part.
 struct SuspectPart {
-  std::map<InstanceLife, TimePoint> Crashes; // time of the crash
+  std::map<CrashId, TimePoint> Crashes; // time of the crash
   // Parts that followed this one in requests of these crashes.
   std::set<PromptPart> Later;
   PartTrials Trials;
@@ -116,7 +118,7 @@
 
 struct PartSuspects {
   SuspectSettings Settings;
-  std::map<InstanceLife, KnownCrash> Crashes;
+  std::map<CrashId, RecordedCrash> Crashes;
   std::unordered_map<PromptPart, SuspectPart> Parts;
   std::unordered_map<PromptPart, KnownProof> Proofs;
 };
@@ -161,6 +163,6 @@
 // requests are still being refused are kept.
 void expireSuspects(PartSuspects &Suspects, TimePoint Now);
 
-} // namespace samphirehill::serving
+} // namespace samphirehill
 
-#endif // SAMPHIREHILL_SERVING_PARTSUSPECTS_H
+#endif // SAMPHIREHILL_LIMITS_PARTSUSPECTS_H
--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -5,10 +5,10 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/PartSuspects.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
-#include "samphirehill/Serving/PartSuspects.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <cstdint>
--- a/include/samphirehill/Serving/InstanceNotices.h
+++ b/include/samphirehill/Serving/InstanceNotices.h
@@ -8,6 +8,7 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/CrashSuspects.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,9 @@
   auto operator<=>(const InstanceLife &) const = default;
 };
 
+// Returns the name under which a crash of this life is known to all entries.
+CrashId crashId(const InstanceLife &Life);
+
 // The notices of one life of an instance.
 struct InstanceNotice {
   bool Leaving = false;
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -5,11 +5,11 @@
 #define SAMPHIREHILL_SERVING_REQUESTFLOW_H
 
 #include "samphirehill/Core/ResultCode.h"
+#include "samphirehill/Limits/PartSuspects.h"
 #include "samphirehill/Net/TimerService.h"
 #include "samphirehill/Serving/CallerServer.h"
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/CrashRecord.h"
-#include "samphirehill/Serving/PartSuspects.h"
 #include "samphirehill/Serving/RequestWire.h"
 #include "samphirehill/Serving/RetryShare.h"
 #include "samphirehill/Serving/ServingMetrics.h"
@@ -124,7 +124,7 @@
   // has crashed. Prompt holds the request's shared parts if it may be the
   // cause, else nothing.
   void checkCrash(const Upstream &Engine, std::vector<PromptPart> Prompt);
-  void noteEngineCrash(const EngineCrash &Crash);
+  void noteEngineCrash(const InstanceLife &Life, const EngineCrash &Crash);
 
   FlowShared Shared;
   FlowSettings Settings;
--- a/include/samphirehill/Serving/RequestWire.h
+++ b/include/samphirehill/Serving/RequestWire.h
@@ -6,6 +6,7 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/PartSuspects.h"
 #include "samphirehill/Serving/HttpMessage.h"
 
 #include <cstddef>
@@ -17,9 +18,6 @@
 
 namespace samphirehill::serving {
 
-// Identifies a part of a prompt. Requests that begin alike share parts.
-using PromptPart = std::uint64_t;
-
 // Bounds the parts that are read from one request.
 inline constexpr std::size_t MaxPromptParts = 32;
 
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -218,12 +218,12 @@
 void noteLifeEnded(UpstreamBook &Book, const InstanceLife &Life,
                    TimePoint EndedAt);
 
-// Records that another entry found Life ended at EndedAt: its upstream is used
-// only while no other one can take a request. Only the connection to that entry
-// may have failed, so an upstream that has made progress here since then is
-// used as before.
-void noteLifeReportedEnded(UpstreamBook &Book, const InstanceLife &Life,
-                           TimePoint EndedAt);
+// Records that another entry found a crash of Ended at EndedAt: its upstream is
+// used only while no other one can take a request. Only the connection to that
+// entry may have failed, so an upstream that has made progress here since then
+// is used as before.
+void noteCrashReported(UpstreamBook &Book, const CrashId &Ended,
+                       TimePoint EndedAt);
 
 // Returns whether Life has ended, as far as is known at Now.
 bool hasEnded(const UpstreamBook &Book, const InstanceLife &Life,
--- a/lib/Serving/PartSuspects.cpp
+++ b/lib/Limits/PartSuspects.cpp
@@ -1,4 +1,4 @@
-#include "samphirehill/Serving/PartSuspects.h"
+#include "samphirehill/Limits/PartSuspects.h"
 
 #include "samphirehill/Core/Hash.h"
 
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <utility>
 
-namespace samphirehill::serving {
+namespace samphirehill {
 namespace {
 
 // Returns the number of crashes of Part, with those in one domain within the
@@ -73,7 +73,7 @@
   }
 }
 
-void dropCrash(PartSuspects &Suspects, const InstanceLife &Engine) {
+void dropCrash(PartSuspects &Suspects, const CrashId &Engine) {
   auto Found = Suspects.Crashes.find(Engine);
   for (const std::vector<PromptPart> &Prompt : Found->second.Crash.Prompts) {
     for (PromptPart Each : Prompt) {
@@ -94,7 +94,7 @@
                        [](const auto &A, const auto &B) {
                          return A.second.Crash.At < B.second.Crash.At;
                        });
-  dropCrash(Suspects, InstanceLife(Oldest->first));
+  dropCrash(Suspects, CrashId(Oldest->first));
 }
 
 // Returns whether some request was refused within the retention time because
@@ -248,7 +248,7 @@
 
 SuspectReport suspectReport(const PartSuspects &Suspects, TimePoint Now) {
   SuspectReport Report;
-  std::vector<const KnownCrash *> ByTime;
+  std::vector<const RecordedCrash *> ByTime;
   for (const auto &[Life, Known] : Suspects.Crashes) {
     if (!isExpired(Suspects, Known.Crash, Now))
       ByTime.push_back(&Known);
@@ -256,7 +256,7 @@
   std::sort(ByTime.begin(), ByTime.end(), [](const auto *A, const auto *B) {
     return A->Crash.At > B->Crash.At;
   });
-  for (const KnownCrash *Each : ByTime) {
+  for (const RecordedCrash *Each : ByTime) {
     if (Report.Crashes.size() >= Suspects.Settings.MaxReported)
       break;
     bool Recent = Now - Each->NotedAt <= Suspects.Settings.SharingTime;
@@ -327,12 +327,12 @@
 }
 
 void expireSuspects(PartSuspects &Suspects, TimePoint Now) {
-  std::vector<InstanceLife> Expired;
+  std::vector<CrashId> Expired;
   for (const auto &[Life, Known] : Suspects.Crashes) {
     if (isExpired(Suspects, Known.Crash, Now))
       Expired.push_back(Life);
   }
-  for (const InstanceLife &Each : Expired)
+  for (const CrashId &Each : Expired)
     dropCrash(Suspects, Each);
   // A proof counts only against crashes before it, and later requests replace
   // it, so under pressure old proofs of unsuspected parts go first.
@@ -344,4 +344,4 @@
   });
 }
 
-} // namespace samphirehill::serving
+} // namespace samphirehill
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -76,8 +76,8 @@
             wire::EntryState &State) {
   for (const EngineCrash &Each : Report.Crashes) {
     wire::EngineCrash &Added = *State.add_crashes();
-    Added.set_instance(Each.Engine.Id.str());
-    Added.set_born_ms(Each.Engine.BornMilliseconds);
+    Added.set_engine(Each.Engine.Upstream.str());
+    Added.set_boot_id(Each.Engine.Boot.str());
     Added.set_domain(Each.Domain);
     Added.set_age_ms(ageOf(Each.At, Now));
     for (const std::vector<PromptPart> &Prompt : Each.Prompts)
@@ -99,7 +99,7 @@
 SuspectReport decodeSuspects(const wire::EntryState &State, TimePoint Now) {
   SuspectReport Report;
   for (const wire::EngineCrash &Each : State.crashes()) {
-    EngineCrash Crash{{InstanceId(Each.instance()), Each.born_ms()},
+    EngineCrash Crash{{UpstreamId(Each.engine()), BootId(Each.boot_id())},
                       Each.domain(),
                       Now - milliseconds(Each.age_ms()),
                       {}};
--- a/lib/Serving/InstanceNotices.cpp
+++ b/lib/Serving/InstanceNotices.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Serving/InstanceNotices.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace samphirehill::serving {
@@ -22,6 +23,11 @@
 
 } // namespace
 
+CrashId crashId(const InstanceLife &Life) {
+  return {UpstreamId(Life.Id.str()),
+          BootId(std::to_string(Life.BornMilliseconds))};
+}
+
 bool noteLeaving(InstanceNotices &Notices, const InstanceLife &From,
                  TimePoint Now) {
   InstanceNotice &Notice = Notices.ByLife[From];
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -967,12 +967,11 @@
 void RequestFlows::checkCrash(const Upstream &Engine,
                               std::vector<PromptPart> Prompt) {
   InstanceLife Life = lifeOf(Engine);
-  TimePoint Now = Shared.Timers.now();
-  EngineCrash Seen{Life, Engine.Domain, Now, {}};
+  EngineCrash Seen{crashId(Life), Engine.Domain, Shared.Timers.now(), {}};
   if (!Prompt.empty())
     Seen.Prompts.push_back(std::move(Prompt));
-  if (Shared.Suspects.Crashes.contains(Life))
-    return noteEngineCrash(Seen);
+  if (hasEnded(Shared.Book, Life, Seen.At))
+    return noteEngineCrash(Life, Seen);
   auto [Place, IsNew] = Checks->try_emplace(Life, Seen);
   if (!IsNew) {
     std::vector<std::vector<PromptPart>> &Prompts = Place->second.Prompts;
@@ -986,7 +985,7 @@
           return;
         auto Checked = Checks->extract(Life);
         if (Refused)
-          noteEngineCrash(Checked.mapped());
+          noteEngineCrash(Life, Checked.mapped());
         else
           spdlog::info("event=engine_lives instance={} born={}", Life.Id.str(),
                        Life.BornMilliseconds);
@@ -994,17 +993,17 @@
       });
 }
 
-void RequestFlows::noteEngineCrash(const EngineCrash &Crash) {
-  TimePoint Now = Shared.Timers.now();
-  bool IsNew = !Shared.Suspects.Crashes.contains(Crash.Engine);
-  noteCrash(Shared.Suspects, Crash, Now);
-  noteLifeEnded(Shared.Book, Crash.Engine, Crash.At);
+void RequestFlows::noteEngineCrash(const InstanceLife &Life,
+                                   const EngineCrash &Crash) {
+  bool IsNew = !hasEnded(Shared.Book, Life, Crash.At);
+  noteCrash(Shared.Suspects, Crash, Shared.Timers.now());
+  noteLifeEnded(Shared.Book, Life, Crash.At);
   if (IsNew) {
     Shared.Metrics.count("engine_crashes", "seen", "own");
     spdlog::warn("event=engine_crashed instance={} born={} domain={} "
                  "suspects={}",
-                 Crash.Engine.Id.str(), Crash.Engine.BornMilliseconds,
-                 Crash.Domain, Crash.Prompts.size());
+                 Life.Id.str(), Life.BornMilliseconds, Crash.Domain,
+                 Crash.Prompts.size());
   }
   if (Shared.OnSuspectNews && (IsNew || !Crash.Prompts.empty()))
     Shared.OnSuspectNews();
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -493,9 +493,9 @@
 void ServingEntry::applySuspects(const SuspectReport &Report) {
   for (const EngineCrash &Each : Report.Crashes) {
     if (!Suspects.Crashes.contains(Each.Engine))
-      noteLifeReportedEnded(Book, Each.Engine, Each.At);
+      noteCrashReported(Book, Each.Engine, Each.At);
   }
-  serving::applySuspects(Suspects, Report, Timers.now());
+  samphirehill::applySuspects(Suspects, Report, Timers.now());
 }
 
 void ServingEntry::logBlamedParts() {
@@ -504,8 +504,8 @@
     if (BlamedParts.contains(Each))
       continue;
     std::string Engines;
-    for (const auto &[Life, At] : Suspects.Parts.at(Each).Crashes)
-      Engines += (Engines.empty() ? "" : ",") + Life.Id.str();
+    for (const auto &[Crash, At] : Suspects.Parts.at(Each).Crashes)
+      Engines += (Engines.empty() ? "" : ",") + Crash.Upstream.str();
     spdlog::warn("event=part_blamed part={:x} engines={}", Each, Engines);
   }
   for (PromptPart Each : BlamedParts) {
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -292,11 +292,11 @@
   Until = std::max(Until, EndedAt + EndedLifeMemory);
 }
 
-void noteLifeReportedEnded(UpstreamBook &Book, const InstanceLife &Life,
-                           TimePoint EndedAt) {
+void noteCrashReported(UpstreamBook &Book, const CrashId &Ended,
+                       TimePoint EndedAt) {
   for (auto &[Key, State] : Book.Upstreams) {
     TimePoint Until = EndedAt + EndedLifeMemory;
-    if (lifeOf(State.Info) != Life || State.LastAnswerAt > EndedAt ||
+    if (crashId(lifeOf(State.Info)) != Ended || State.LastAnswerAt > EndedAt ||
         State.AvoidUntil >= Until)
       continue;
     State.Avoid = AvoidReason::Unreachable;
--- a/test/Serving/PartSuspectsModelTest.cpp
+++ b/test/Limits/PartSuspectsModelTest.cpp
@@ -1,7 +1,7 @@
 // Plays seeded histories of engines, some of whose requests hold a part that
 // crashes them, to compare rules of blame: how many engines crash, and how many
 // sound requests are refused. Engines also crash for other reasons.
-#include "samphirehill/Serving/PartSuspects.h"
+#include "samphirehill/Limits/PartSuspects.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <random>
 
-namespace samphirehill::serving {
+namespace samphirehill {
 namespace {
 
 constexpr Duration Step = milliseconds(10);
@@ -178,7 +178,8 @@
     ModelEngine &Engine = Engines[static_cast<std::size_t>(Number)];
     std::vector<ModelRequest> Lost = std::exchange(Engine.Running, {});
     Engine.BackAt = Now + RestartTime;
-    EngineCrash Seen{{InstanceId(std::to_string(Number)), Engine.Life++},
+    EngineCrash Seen{{UpstreamId(std::to_string(Number)),
+                      BootId(std::to_string(Engine.Life++))},
                      std::to_string(Number % DomainCount),
                      Now,
                      {}};
@@ -307,4 +308,4 @@
                          [](const auto &Info) { return Info.param.Name; });
 
 } // namespace
-} // namespace samphirehill::serving
+} // namespace samphirehill
--- a/test/Serving/PartSuspectsTest.cpp
+++ b/test/Limits/PartSuspectsTest.cpp
@@ -1,6 +1,6 @@
 // Tests when a part of a prompt is blamed for crashes of engines, and when it
 // is released.
-#include "samphirehill/Serving/PartSuspects.h"
+#include "samphirehill/Limits/PartSuspects.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -8,7 +8,7 @@
 
 #include <random>
 
-namespace samphirehill::serving {
+namespace samphirehill {
 namespace {
 
 using Prompt = std::vector<PromptPart>;
@@ -22,7 +22,7 @@
                   std::string Domain = "") {
   if (Domain.empty())
     Domain = "domain-" + std::to_string(Number);
-  return {{InstanceId("i-" + std::to_string(Number)), 1},
+  return {{UpstreamId("i-" + std::to_string(Number)), BootId("1")},
           std::move(Domain),
           At,
           std::move(Suspects)};
@@ -273,4 +273,4 @@
 }
 
 } // namespace
-} // namespace samphirehill::serving
+} // namespace samphirehill
--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -43,7 +43,7 @@
 TEST(RequestsTest, ReadsSharedPartsOfPrompt) {
   struct Case {
     const char *Value;
-    std::vector<serving::PromptPart> Expected;
+    std::vector<PromptPart> Expected;
   };
   const Case Cases[] = {
       {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -33,7 +33,7 @@
   Report.ZonesOut = {ZoneId("south")};
   Report.ZonesOutRevision = 6;
   Report.SummedZones = {ZoneId("west")};
-  Report.Suspects = {{{{InstanceId("i-7"), 70},
+  Report.Suspects = {{{{UpstreamId("i-7"), BootId("70")},
                        "north-d0",
                        TimePoint{seconds(8)},
                        {{1, 0xffffffffffffffff}, {3}}}},
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -116,7 +116,7 @@
   void blame(PromptPart Part) {
     for (int Number = 0; Number < 3; ++Number)
       noteCrash(Suspects,
-                {{InstanceId("gone-" + std::to_string(Number)), 1},
+                {{UpstreamId("gone-" + std::to_string(Number)), BootId("1")},
                  std::to_string(Number),
                  Timers.now(),
                  {{Part}}},
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -299,7 +299,7 @@
 
 // The path of the reporting entry may be cut, and not the engine gone.
 TEST_F(UpstreamBookTest, AvoidsLifeThatAnotherEntryReportsAsEnded) {
-  noteLifeReportedEnded(Book, lifeOf(Usable[0]), Now);
+  noteCrashReported(Book, crashId(lifeOf(Usable[0])), Now);
   for (int Try = 0; Try < 20; ++Try)
     EXPECT_NE(place(Book, Query, Now).Chosen, key(0));
   Query.Tried = {key(1), key(2)};
@@ -308,7 +308,7 @@
 
 TEST_F(UpstreamBookTest, KeepsUsingUpstreamThatAnswersAfterReportedEnd) {
   noteProgress(Book, key(0), Now + milliseconds(10));
-  noteLifeReportedEnded(Book, lifeOf(Usable[0]), Now);
+  noteCrashReported(Book, crashId(lifeOf(Usable[0])), Now);
   EXPECT_EQ(Book.Upstreams.at(key(0)).Avoid, AvoidReason::None);
 }
 
