Blame beginnings of prompts that crash upstreams on the own door too

The record of crashes knew organisation and body, so requests that share what crashes upstreams, no two of them alike, went on as on the platform's path.

CrashControllerTest.BlamesSharedBeginningAtAllEntriesUntilProved shows that sound requests with the same first part go on.

--- a/include/samphirehill/Daemon/ModelCall.h
+++ b/include/samphirehill/Daemon/ModelCall.h
@@ -55,6 +55,9 @@
   void lost(const Error &Cause);
   void retry(const Error &Cause);
   bool judgeCrashes();
+  // Returns an error if a part of the prompt is blamed for crashes, unless this
+  // request may be sent as a trial.
+  std::optional<Error> blame();
   void giveBack(bool MayStillRun);
   void answerError(const Error &Failure, Duration RetryAfter = {});
   void callerGone();
@@ -77,7 +80,8 @@
   bool Started = false;    // headers went to the caller
   bool Finished = false;
   std::set<UpstreamId> Excluded;
-  std::vector<PrefixHash> Prompt; // prefix hashes, for routing
+  std::vector<PrefixHash> Prompt; // prefix hashes, for routing and blame
+  bool Trial = false; // may be sent although a part of the prompt is blamed
   TimerSubscription Backoff;
   TimerSubscription DeadlineTimer;
   TimePoint SentAt{};
--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -32,6 +32,9 @@
   return FinishReason == "stop" || FinishReason == "length";
 }
 
+// Retry-After of a request with a part of a prompt that is blamed for crashes.
+constexpr Duration BlameRetryDelay = seconds(5);
+
 } // namespace
 
 ModelCall::ModelCall(CallParts Parts, RequestContext Request,
@@ -52,9 +55,19 @@
         if (auto Self = Weak.lock())
           Self->deadlinePassed();
       });
+  if (std::optional<Error> Blame = blame())
+    return answerError(*Blame, BlameRetryDelay);
   submit();
 }
 
+std::optional<Error> ModelCall::blame() {
+  if (Trial || Parts.Crashes.takeTrialOf(Prompt)) {
+    Trial = true;
+    return std::nullopt;
+  }
+  return Parts.Crashes.blameOf(Prompt);
+}
+
 DispatchRequest ModelCall::dispatchRequest() {
   DispatchRequest Asked;
   std::int64_t Remaining = std::max<std::int64_t>(
@@ -111,6 +124,13 @@
     giveBack(false);
     return;
   }
+  if (std::optional<Error> Blame = blame()) {
+    if (MayHaveRun)
+      Blame->Code = ResultCode::UpstreamLost;
+    giveBack(false);
+    answerError(*Blame, BlameRetryDelay);
+    return;
+  }
   send();
 }
 
@@ -138,7 +158,7 @@
   SentAt = Parts.Shared.Timers.now();
   beginAttempt(Stream, Attempt, Current->Held.Boot);
   Parts.Crashes.begin(CrashId{Current->Upstream, Current->Held.Boot}, Attempt,
-                      Request.Print);
+                      Request.Print, Prompt);
   HttpRequest Call;
   Call.Method = "POST";
   Call.Url = "http://" + Current->Address + "/generate";
@@ -182,8 +202,11 @@
     return;
   }
   StreamStep Step = feed(Stream, Bytes);
-  if (!Step.Tokens.empty())
+  if (!Step.Tokens.empty()) {
+    Parts.Crashes.answerBegun(CrashId{Current->Upstream, Current->Held.Boot},
+                              Attempt);
     deliver(Step.Tokens);
+  }
   if (Step.State == StreamState::Complete)
     endOfStream();
   if (Step.State != StreamState::Broken)
@@ -304,6 +327,8 @@
   Parts.Shared.Counters.count("requests_completed_total");
   Parts.Shared.Counters.observe("request_seconds",
                                 toSeconds(Now - Request.Arrived));
+  Parts.Crashes.answerComplete(CrashId{Current->Upstream, Current->Held.Boot},
+                               Attempt);
   giveBack(false);
   over();
 }
@@ -337,6 +362,11 @@
     Final.Code = ResultCode::UpstreamLost;
   else if (!MayHaveRun)
     Final.Code = ResultCode::UpstreamRefused;
+  Trial = false;
+  if (std::optional<Error> Blame = Parts.Crashes.blameOf(Prompt)) {
+    answerError(Error{ResultCode::UpstreamLost, Blame->Message});
+    return;
+  }
   if (!judgeCrashes()) {
     answerError(Error{ResultCode::UpstreamLost,
                       "this request was in progress when two upstreams "
--- a/test/Daemon/CrashControllerTest.cpp
+++ b/test/Daemon/CrashControllerTest.cpp
@@ -82,5 +82,36 @@
   EXPECT_EQ(verdict(Second, Crasher), CrashVerdict::Refuse);
 }
 
+// Guards against requests, no two alike, whose prompts begin alike and crash
+// one upstream after the other.
+TEST_F(CrashControllerTest, BlamesSharedBeginningAtAllEntriesUntilProved) {
+  const std::vector<PromptPart> Sound = {1, 50};
+  auto Crash = [&](const char *Name, Fingerprint Print, PromptPart Last) {
+    CrashId At{UpstreamId(Name), BootId("b")};
+    First.begin(At, RequestId("r"), Print, {1, 7, Last});
+    First.crashed(At, DomainId(Name));
+  };
+  Crash("u1", 11, 101);
+  Crash("u2", 12, 102);
+  EXPECT_FALSE(First.blameOf({1, 7, 104}));
+  First.begin(Where, RequestId("sound"), 13, Sound);
+  First.answerBegun(Where, RequestId("sound"));
+  First.answerComplete(Where, RequestId("sound"));
+  Crash("u3", 14, 103);
+  ASSERT_TRUE(First.blameOf({1, 7, 104}));
+  EXPECT_EQ(First.blameOf({1, 7, 104})->Code, ResultCode::CrashesUpstreams);
+  EXPECT_FALSE(First.blameOf(Sound));
+  ASSERT_TRUE(runUntil([&] {
+    return Second.blameOf({1, 7, 105}).has_value();
+  }));
+  EXPECT_FALSE(Second.blameOf(Sound));
+  EXPECT_FALSE(Second.takeTrialOf({1, 7, 105})); // not yet
+  Second.begin(Where, RequestId("r2"), 15, {1, 7, 106});
+  Second.answerBegun(Where, RequestId("r2"));
+  Second.answerComplete(Where, RequestId("r2"));
+  EXPECT_FALSE(Second.blameOf({1, 7, 105}));
+  EXPECT_TRUE(runUntil([&] { return !First.blameOf({1, 7, 104}); }));
+}
+
 } // namespace
 } // namespace samphirehill::test
--- a/test/System/CrashTest.cpp
+++ b/test/System/CrashTest.cpp
@@ -52,5 +52,31 @@
     checkWhole(*Each);
 }
 
+// Guards against requests, no two alike, whose prompts begin alike and take one
+// engine after the other down.
+TEST_F(CrashTest, StopsUnlikeRequestsThatShareACrashingBeginning) {
+  constexpr int CrashLimit = 5; // the operators bound what is sent after it
+  form({.EnginesPerZone = 2,
+        .ReplicasPerZone = 2,
+        .MsPerToken = 5,
+        .OnCrash = standin::CrashEffect::Cold});
+  const std::string Beginning = "[poison] " + std::string(600, 'x');
+  std::vector<StreamPtr> Poison;
+  std::set<std::string> Refusing;
+  bool Refused = until(
+      [&] {
+        if (!Poison.empty() && !Poison.back()->Over)
+          return false;
+        if (!Poison.empty() && Poison.back()->errorCode() == CrashesUpstreams)
+          Refusing.insert(entryIds()[(Poison.size() - 1) % Entries.size()]);
+        Poison.push_back(stream(entryIds()[Poison.size() % Entries.size()],
+                                Beginning + std::to_string(Poison.size()), 5));
+        return Refusing.size() == Entries.size();
+      },
+      seconds(20));
+  EXPECT_TRUE(Refused) << "not every entry refuses the requests";
+  EXPECT_LE(sum("crashes"), CrashLimit);
+}
+
 } // namespace
 } // namespace samphirehill::system_test
