Keep blamed parts in the store for zones that are cut off

One entry among those in contact writes each blamed part to the platform's store (kind blames: engines, domains, times, trials) and withdraws it when it is released. An entry that hears some zone no more and has a suspicion of its own reads them, at most once a second. While a zone can't be heard the first trial waits 60 s, as each side would make one.

Ruled out: reading always (each call is priced, and reports tell it faster); counting a crash in a cut as proof of more. BlameStoreTest covers both sides, odd objects and withdrawals.

--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Config/ServingSettings.h"
 #include "samphirehill/Core/Result.h"
 #include "samphirehill/Net/TimerService.h"
+#include "samphirehill/Serving/BlameStore.h"
 #include "samphirehill/Serving/CallerServer.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
@@ -144,6 +145,11 @@
   void refreshLoad();
   // Takes over the crashes of engines that another entry reports.
   void applySuspects(const SuspectReport &Report);
+  // Exchanges blamed parts of prompts through the store with entries that no
+  // report reaches.
+  void exchangeBlames();
+  // Returns whether reports arrive from all zones that have entries.
+  bool hearsAllZones() const;
   // Logs the parts of prompts that have come to be blamed or been released.
   void logBlamedParts();
   void tick(); // periodic work, every TickPeriod
@@ -175,6 +181,7 @@
   RetryShare Retries;
   CrashRecord Crashes;
   PartSuspects Suspects;
+  BlameStore Blames;
   std::set<PromptPart> BlamedParts; // as last logged
   std::shared_ptr<const Configuration> Config;
   RequestFlows Flows;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -36,6 +36,9 @@
 constexpr double LapsedDrainShare = 0.4;
 // How long this entry's break-offs are sent to the other entries.
 constexpr Duration BreakOffSharing = seconds(2);
+// Delay of the first trial of a blamed part while some zone can't be heard:
+// each side of the cut makes trials of its own.
+constexpr Duration CutOffTrialDelay = seconds(60);
 // The load balancer removes an entry after two failed readiness probes, one
 // second apart, and sends new connections until then.
 constexpr Duration StoppingAcceptTime = milliseconds(2'300);
@@ -130,6 +133,7 @@
                            const ServingSettings &Settings, Adapter Platform)
     : Timers(Timers), Pool(Pool), Settings(Settings),
       Platform(std::move(Platform)), Metrics(Metrics),
+      Blames(Timers, this->Platform.Store, Suspects),
       Flows(FlowShared{
                 Timers, Pool, Book, Retries, Crashes, Suspects, Metrics,
                 this->Platform.Wire,
@@ -498,6 +502,32 @@
   samphirehill::applySuspects(Suspects, Report, Timers.now());
 }
 
+bool ServingEntry::hearsAllZones() const {
+  return std::all_of(
+      Peers.peers().begin(), Peers.peers().end(), [&](const auto &Peer) {
+        return Peer.second.Zone == Settings.Zone ||
+               Peers.zoneContactSince(Peer.second.Zone).has_value();
+      });
+}
+
+void ServingEntry::exchangeBlames() {
+  if (!PeersListed)
+    return;
+  TimePoint Now = Timers.now();
+  bool IsFirst = std::none_of(
+      Peers.peers().begin(), Peers.peers().end(), [&](const auto &Peer) {
+        return Peer.first < Settings.Entry &&
+               Now - Peer.second.LastReportAt < PeerSettings{}.MaxReportAge;
+      });
+  if (IsFirst)
+    Blames.writeChanges();
+  bool CutOff = !hearsAllZones();
+  if (CutOff)
+    Blames.readIfSuspecting();
+  Suspects.Settings.TrialDelay =
+      CutOff ? CutOffTrialDelay : SuspectSettings{}.TrialDelay;
+}
+
 void ServingEntry::logBlamedParts() {
   std::set<PromptPart> Blamed = blamedParts(Suspects);
   for (PromptPart Each : Blamed) {
@@ -600,6 +630,7 @@
   expire(Crashes, BreakOffSharing, Now);
   expireSuspects(Suspects, Now);
   eraseEndedLives(Book, Now);
+  exchangeBlames();
   logBlamedParts();
   refreshLoad();
   Book.Limits.ManyEntries = Peers.usesRelays();
