Keep members that come back from a cut for their head

The holder of the duty had taken the whole group for gone. A member was listed again 1.2 s before its head, and joined a new group within 0.6 s.

A group of which no engine was known for over a second and that comes back keeps its members for 3 s, as the list shows engines again within 2 s. A head that is lost while members stay listed is replaced as before.

GroupPlanTest.KeepsReturnedMemberForItsHeadThatMayReturnToo failed before (two joins, none allowed).

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -87,6 +87,12 @@
   // state. It exceeds the time after which a live head is listed again after an
   // outage (2 s), and after which most late orders have taken effect.
   Duration HeadlessWait = seconds(8);
+  // A group of which no engine was known for longer than AbsenceGap and that
+  // has come back may have been cut off while it went on serving. Its members
+  // are not reassigned for HeadReturnWait: the list shows engines again within
+  // 2 s of each other.
+  Duration AbsenceGap = seconds(1);
+  Duration HeadReturnWait = seconds(3);
   // An engine may replace its weights once its domain has had more engines with
   // them than needed for this long. Most missing engines are back before a load
   // of other weights would be complete.
@@ -138,7 +144,11 @@
   std::map<std::string, TimePoint> OrderedAt; // by label of order and instance
   std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last reported
   std::map<std::int64_t, TimePoint> HeadlessSince; // by epoch
-  std::map<InstanceId, std::string> LastModel;     // model of the last group
+  // When a member of the group was last known, and when one was known again
+  // after a gap, by epoch.
+  std::map<std::int64_t, TimePoint> LastKnownAt;
+  std::map<std::int64_t, TimePoint> ReturnedAt;
+  std::map<InstanceId, std::string> LastModel; // model of the last group
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
   std::vector<TimePoint> LoadStarts; // within the last second
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -141,6 +141,9 @@
     std::set<std::int64_t> Named;
     for (const auto &[Key, Group] : Groups)
       Named.insert(Key.second);
+    std::erase_if(State.ReturnedAt, [&](const auto &Entry) {
+      return Now - Entry.second > State.Settings.HeadReturnWait;
+    });
     std::erase_if(State.HeadlessSince, [&](const auto &Entry) {
       return !Named.contains(Entry.first);
     });
@@ -189,12 +192,36 @@
       Group.Model = modelOfGroup(Place.Group);
       Group.ByRank[Place.Rank] = &Each;
     }
-    for (auto &[Key, Group] : Groups)
+    for (auto &[Key, Group] : Groups) {
+      noteReturn(Key.second, Group);
       updateGroup(Key, Group);
+    }
     for (const auto &[Epoch, Forming] : State.Forming)
       repeatJoins(Forming);
   }
 
+  // Notes that members of the group are known, perhaps again after a gap.
+  void noteReturn(std::int64_t Epoch, const ReportedGroup &Group) {
+    bool Known = std::any_of(Group.ByRank.begin(), Group.ByRank.end(),
+                             [](const auto &Member) {
+                               return Member.second->State != Liveness::Gone;
+                             });
+    if (!Known)
+      return;
+    auto [Last, IsNew] = State.LastKnownAt.try_emplace(Epoch, Now);
+    if (!IsNew && Now - Last->second > State.Settings.AbsenceGap)
+      State.ReturnedAt[Epoch] = Now;
+    Last->second = Now;
+  }
+
+  // Returns whether the group has come back so recently that its head may
+  // follow.
+  bool mayHeadReturn(std::int64_t Epoch) const {
+    auto Found = State.ReturnedAt.find(Epoch);
+    return Found != State.ReturnedAt.end() &&
+           Now - Found->second < State.Settings.HeadReturnWait;
+  }
+
   static bool isMember(const PlannedInstance &Engine,
                        const Formation &Forming) {
     return Engine.Listed.Group && Engine.Listed.Group->Epoch == Forming.Epoch &&
@@ -264,6 +291,8 @@
     if (Head) {
       State.HeadlessSince.erase(Key.second);
       State.HeadOf[Key.second] = Head->Listed.Id;
+      if (Head->State == Liveness::Gone)
+        return mayHeadReturn(Key.second);
       if (Head->State != Liveness::Alive || Head->Confirmed)
         return Head->State == Liveness::Unclear;
       requestReport(*Head);
@@ -274,8 +303,10 @@
       const PlannedInstance *LastHead = findEngine(Recorded->second);
       bool Left =
           LastHead && LastHead->LeftEpoch == Key.second && isFenced(*LastHead);
-      if (!LastHead || LastHead->State == Liveness::Gone || Left)
+      if (Left)
         return false;
+      if (!LastHead || LastHead->State == Liveness::Gone)
+        return mayHeadReturn(Key.second);
       if (LastHead->State == Liveness::Alive && LastHead->Confirmed)
         return mayServeAgain(Key, Group, *LastHead);
       requestReport(*LastHead);
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -82,6 +82,46 @@
   return Engines;
 }
 
+// A zone was cut off from the others and from the store for 30 s while its
+// groups went on serving. Its engines come back to the list one after the
+// other.
+TEST(GroupPlanTest, KeepsReturnedMemberForItsHeadThatMayReturnToo) {
+  std::vector<PlannedInstance> Spares;
+  for (const char *Name : {"e", "f", "g"}) {
+    Instance Spare = engine(Name, "north-d0");
+    Spare.Staged = {"large"};
+    Spares.push_back({Spare});
+    Spares.back().Confirmed = true;
+  }
+  std::vector<PlannedInstance> Group;
+  for (int Rank = 0; Rank < 4; ++Rank) {
+    Group.push_back(
+        {member(std::string(1, static_cast<char>('a' + Rank)), "large.7", 7,
+                Rank, Rank == 0 ? MemberPhase::Open : MemberPhase::Ready)});
+    Group.back().Confirmed = true;
+  }
+  GroupPlanState State;
+  TimePoint Now{seconds(10)};
+  auto Joins = [&](const std::vector<PlannedInstance> &Returned,
+                   Duration Length) {
+    int Count = 0;
+    std::vector<PlannedInstance> Engines = Spares;
+    Engines.insert(Engines.end(), Returned.begin(), Returned.end());
+    for (TimePoint End = Now + Length; Now < End; Now += Tick) {
+      for (const GroupOrder &Order :
+           planGroups(State, Engines, poolShape(), false, Now))
+        Count += Order.Kind == OrderKind::Join && Order.To.str() < "e";
+    }
+    return Count;
+  };
+  EXPECT_EQ(Joins(Group, seconds(2)), 0);
+  EXPECT_EQ(Joins({}, seconds(27)), 0);
+  EXPECT_EQ(Joins({Group[1]}, seconds(2)), 0);
+  EXPECT_EQ(Joins(Group, seconds(2)), 0);
+  EXPECT_EQ(Joins({}, seconds(27)), 0);
+  EXPECT_GT(Joins({Group[1]}, seconds(10)), 0); // the head doesn't return
+}
+
 // Incident SHORT: the spares that would have completed the group were ordered
 // to load the other model's weights, which took 12 s.
 TEST(GroupPlanTest, KeepsWeightsOfSparesWhileTheirGroupIsBroken) {
