--- a/review/standins.py
+++ b/review/standins.py
@@ -12,10 +12,8 @@
 import re
 import signal
 import socket
-import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -24,6 +22,17 @@
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
+STARTED = []  # the processes of all entries
+
+
+def end_all():
+    """Ends the processes that still run, also if the script is ended early."""
+    for process in STARTED:
+        if process.returncode is None:
+            try:
+                process.kill()
+            except ProcessLookupError:
+                pass
 
 
 def now():
@@ -312,9 +321,9 @@
 
 
 def run_command():
-    """The command of the deploy file's only role, without the settings."""
-    role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
-    return next(iter(role.values()))["run"]
+    """The command of the deploy file's only role."""
+    text = (ROOT / "deploy/system.toml").read_text()
+    return re.search(r'^run = "(.*)"$', text, re.MULTILINE)[1]
 
 
 class Entry:
@@ -350,6 +359,7 @@
         self.process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, stdout=open(self.log, "ab"),
             stderr=asyncio.subprocess.STDOUT)
+        STARTED.append(self.process)
         self.record(f"entry {self.name} started, process {self.process.pid}")
 
     async def ready(self, seconds=10):
@@ -470,12 +480,19 @@
     """Runs `case(record, folder of temporary files, trouble)`, which returns
     True if the rule held, False if it was broken, None if it couldn't run."""
     record = Record(folder)
+
+    def terminated(*_):
+        end_all()
+        os._exit(2)
+    signal.signal(signal.SIGTERM, terminated)
+    signal.signal(signal.SIGINT, terminated)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         try:
             held = asyncio.run(asyncio.wait_for(
                 case(record, temporary, trouble), 110))
         except Exception as failed:  # the case could not run
+            end_all()
             record(f"the case could not run: {failed!r}")
             print(f"the case could not run: {failed!r}", flush=True)
             os._exit(2)
