Keep callers' connections until their output is written

Cause: CallerConnection::isIdle decided by the state of the request, not by its bytes. The request has ended as soon as its last bytes are queued; while they wait for the socket, closeIdle (each 100 ms from 2.3 s after SIGTERM) and the idle timeout closed the connection with them.

Evidence: a caller on loopback that doesn't read yet makes the window as wide as wanted. CallerServerTest, all three tests, failed before this change: closeIdle closed the connection (0 connections, 1 expected), the last chunk was missing, and a caller that had ended its own side lost the rest of an answer that was complete. They pass with it.

Why this works: a connection is idle only if no byte is left to pass to the socket, in both callers of isIdle. On related paths: the idle time now counts from the last write, not from the moment at which the answer was queued; a connection that closes after its answer gets no second 408 and is ended by the idle timeout if its caller never closes; an end of the caller's side doesn't cut an answer that is complete.

Read, not run: the end of the process waits for the connections until the grace time ends.

--- a/lib/Serving/CallerServer.cpp
+++ b/lib/Serving/CallerServer.cpp
@@ -84,21 +84,31 @@
 
   // Called when the server is destroyed; it must not be used afterwards.
   void detach() { Server = nullptr; }
-  // Returns whether no request is in progress or partly received.
+  // Returns whether no request is in progress or partly received, and no output
+  // is left to pass to the socket: an answer that is complete here may still
+  // wait for the caller to read.
   bool isIdle() const {
-    return !CurrentRequest && !Reader.inMessage() && Input.empty();
+    return !CurrentRequest && !Reader.inMessage() && Input.empty() &&
+           !hasUnsentOutput();
   }
 
   void checkTimeouts(TimePoint Now) {
-    if (CurrentRequest)
+    if (CurrentRequest || hasUnsentOutput())
       return;
-    if (Reader.inMessage() && Now - StartedAt > Server->Limits.HeadTimeout)
+    bool HeadIsLate = !ClosesAfterWrite && Reader.inMessage() &&
+                      Now - StartedAt > Server->Limits.HeadTimeout;
+    bool MayClose = ClosesAfterWrite || isIdle();
+    if (HeadIsLate)
       refuse(408);
-    else if (isIdle() && Now - LastActive > Server->LongestIdle)
+    else if (MayClose && Now - LastActive > Server->LongestIdle)
       close("idle");
   }
 
 private:
+  bool hasUnsentOutput() const {
+    return !Output.empty() || !BeingWritten.empty();
+  }
+
   void read() {
     if (Reading || !Socket.is_open())
       return;
@@ -108,11 +118,20 @@
         [Self = shared_from_this()](std::error_code Failed, std::size_t Size) {
           Self->Reading = false;
           if (Failed)
-            return Self->close(Failed.message());
+            return Self->readFailed(Failed);
           Self->received(std::string_view(Self->Buffer.data(), Size));
         });
   }
 
+  // Closes the connection. A caller that sends nothing more may still read an
+  // answer that is complete but not yet written.
+  void readFailed(std::error_code Failed) {
+    if (Failed != asio::error::eof || CurrentRequest || !hasUnsentOutput())
+      return close(Failed.message());
+    ClosesAfterWrite = true;
+    CallerEnded = true;
+  }
+
   void received(std::string_view Bytes) {
     if (ClosesAfterWrite)
       return read(); // discards input that was sent before the close arrived
@@ -187,11 +206,15 @@
           Self->BeingWritten.clear();
           if (Failed)
             return Self->close(Failed.message());
+          if (Self->Server)
+            Self->LastActive = Self->Server->Timers.now();
           Self->write();
         });
   }
 
   void afterWrite() {
+    if (CallerEnded)
+      return close("closed by the caller");
     if (ClosesAfterWrite) {
       std::error_code Ignored; // the caller may have closed first
       Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
@@ -218,6 +241,7 @@
   bool Reading = false;
   bool TooLarge = false;
   bool ClosesAfterWrite = false; // the last answer is being written
+  bool CallerEnded = false;      // the caller has closed its side
 };
 
 void CallerRequest::reply(const HttpResponse &Response) {
--- /dev/null
+++ b/test/Serving/CallerServerTest.cpp
@@ -0,0 +1,112 @@
+// Tests when the server for callers closes a connection. Callers are sockets on
+// loopback that read late.
+#include "samphirehill/Serving/CallerServer.h"
+
+#include "Serving/Loopback.h"
+
+#include <gtest/gtest.h>
+
+namespace samphirehill::serving {
+namespace {
+
+// More than the kernel buffers for a caller that doesn't read, less than the
+// server keeps for it.
+constexpr std::size_t AnswerBytes = 4'000'000;
+constexpr int CallerBufferBytes = 4'096;
+
+class CallerServerTest : public testing::Test {
+protected:
+  CallerServerTest()
+      : Timers(Context), Address{"127.0.0.1", freePort()},
+        Server(Context, Timers,
+               [this](std::shared_ptr<CallerRequest> Request) {
+                 Answer(*Request);
+                 Answered = true;
+               }),
+        Caller(Context) {
+    auto Listening = capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(Server.listen(Address));
+      return true;
+    });
+    EXPECT_FALSE(errorOf(Listening));
+    Caller.open(asio::ip::tcp::v4());
+    Caller.set_option(
+        asio::socket_base::receive_buffer_size(CallerBufferBytes));
+    Caller.connect({asio::ip::make_address("127.0.0.1"), Address.Port});
+  }
+
+  // Sends a request and runs the server until it has passed on its answer,
+  // which the caller doesn't read yet.
+  void request() {
+    asio::write(Caller, asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                                 "Host: h\r\n\r\n")));
+    EXPECT_TRUE(runUntil(Context, [this] { return Answered; }));
+    EXPECT_EQ(Server.connectionCount(), 1U);
+  }
+
+  // Reads until the server closes the connection or has sent Last.
+  std::string readAnswer(std::string_view Last) {
+    std::string Received;
+    std::array<char, 65'536> Buffer{};
+    bool Closed = false;
+    std::function<void()> Read = [&] {
+      Caller.async_read_some(asio::buffer(Buffer),
+                             [&](std::error_code Failed, std::size_t Size) {
+                               Received.append(Buffer.data(), Size);
+                               Closed = static_cast<bool>(Failed);
+                               if (!Closed)
+                                 Read();
+                             });
+    };
+    Read();
+    runUntil(Context, [&] { return Closed || Received.ends_with(Last); });
+    return Received;
+  }
+
+  asio::io_context Context;
+  TimerService Timers;
+  SocketAddress Address;
+  std::function<void(CallerRequest &)> Answer = [](CallerRequest &Request) {
+    Request.reply(HttpResponse{200, {}, std::string(AnswerBytes, 'x') + "end"});
+  };
+  bool Answered = false;
+  CallerServer Server;
+  asio::ip::tcp::socket Caller;
+};
+
+// Guards against an answer that is cut in a planned stop because the request
+// has ended while its output still waits for the caller to read (LOST).
+TEST_F(CallerServerTest, KeepsConnectionAtCloseIdleWhenAnswerIsUnwritten) {
+  request();
+  Server.closeIdle();
+  EXPECT_EQ(Server.connectionCount(), 1U);
+  EXPECT_TRUE(readAnswer("end").ends_with("xend"));
+  runUntil(Context, [this] {
+    Server.closeIdle();
+    return Server.connectionCount() == 0;
+  });
+  EXPECT_EQ(Server.connectionCount(), 0U);
+}
+
+TEST_F(CallerServerTest, SendsLastChunkWhenIdleConnectionsAreClosed) {
+  Answer = [](CallerRequest &Request) {
+    Request.beginStream(HttpResponse{200, {}, {}});
+    Request.streamPart(std::string(AnswerBytes, 'x'));
+    Request.endStream();
+  };
+  request();
+  Server.beginClose();
+  Server.closeIdle();
+  EXPECT_TRUE(readAnswer("0\r\n\r\n").ends_with("x\r\n0\r\n\r\n"));
+}
+
+TEST_F(CallerServerTest, WritesWholeAnswerWhenCallerHasEndedItsSide) {
+  request();
+  Caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+  EXPECT_TRUE(readAnswer("end").ends_with("xend"));
+  EXPECT_TRUE(
+      runUntil(Context, [this] { return Server.connectionCount() == 0; }));
+}
+
+} // namespace
+} // namespace samphirehill::serving
