Give a lost head up only when each entry denies that it reaches it

Cause: "gone" was concluded from silence. The holder of the group duty that couldn't reach an unlisted head gave it up after 1.5 s unless some entry reported that it reached it, and an entry reported that only for heads that had left its own list. An entry that has lost the store doesn't see the removal, so it went on using the head and said nothing.

The reverse holds now. The holder asks about the unlisted heads that it can't reach (Asked). Each entry probes them, also those that its own list still contains, and reports that it reached them, or denies it once a probe sent after the question has had no answer; an answer to one of its requests counts as reached. The head is gone only if every entry that is heard denies it, and as many entries are heard as a moment ago: one that falls silent may be cut off from the holder only, and is waited for 4 s. A missing head that some entry reaches is no longer forgotten after 20 s.

Evidence: with the old condition in place of the new one, GroupControllerTest.KeepsMembersWhileAnEntryUsesTheHead and KeepsMembersWhileAnEntryHasNotDeniedTheHead failed (the member was ordered to join within 1.5 s). PeerTableTest covers direct reports and relays.

Versions without denials report 0 entries and are not waited for, as before.

--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -32,7 +32,14 @@
   // number of its last renewal.
   std::int64_t DutyTerm = 0;
   std::int64_t DutyRenewal = 0;
-  std::set<InstanceId> Reached; // unlisted instances that answered just now
+  // Instances, unlisted or asked about, that answered just now.
+  std::set<InstanceId> Reached;
+  // From the holder of the group duty: unlisted heads that it can't reach. Each
+  // entry tries to reach them, even if its own list still contains them.
+  std::set<InstanceId> Asked;
+  // The instances asked about that can't be reached, and by how many entries.
+  std::map<InstanceId, int> Denials;
+  int Entries = 1; // that the report speaks for; 0: a version without denials
   // In a summary: the entries whose reports are included, with the sequence
   // numbers of those reports.
   std::map<EntryId, std::uint64_t> Included;
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -66,7 +66,8 @@
   // having announced that, while the member answers probes: it may have lost
   // only its connection to the platform, and may be listed again.
   Duration ReturnWait = seconds(4);
-  // An unlisted head counts as gone after this if no entry reaches it.
+  // An unlisted head counts as gone after this if each entry reports that it
+  // can't reach it.
   Duration UnlistedWait = milliseconds(1'500);
   // An unlisted head that refuses connections counts as gone only after this:
   // its process may still be finishing requests before it ends, which takes 10
@@ -97,7 +98,7 @@
   void noteUnlisted(const Instance &Last);
   // Records that an instance is listed again.
   void noteListed(const InstanceId &Id);
-  // Records what a peer reports about the duty.
+  // Records what a peer reports about the duty and which heads it asks about.
   void noteReport(const EntryReport &Report);
 
   // Records that the peers have been listed.
@@ -111,8 +112,14 @@
 
   bool isDutyHolder() const;
   const DutyRecord &dutyRecord() const { return Lease.Record; }
-  // Returns the unlisted instances that have just answered this entry's probes.
-  std::set<InstanceId> reachedUnlisted() const;
+  // Returns the instances, unlisted or asked about, that have just answered
+  // this entry.
+  std::set<InstanceId> reachedInstances() const;
+  // Returns the unlisted heads about which this entry, as the duty's holder,
+  // asks the others, since it can't reach them.
+  std::set<InstanceId> unreachedHeads() const;
+  // Returns the instances asked about that this entry can't reach.
+  std::map<InstanceId, int> denials() const;
 
 private:
   // Probes of one instance, and its acceptance of orders.
@@ -121,6 +128,8 @@
     TimePoint AnsweredAt{};
     // The last report shows the state of this time or later.
     TimePoint ReportedAsOf{};
+    // When the last probe that got no answer was sent.
+    TimePoint UnansweredSentAt{};
     bool InProgress = false;
     bool Silent = false;  // the last probe got no answer
     bool Refused = false; // the instance's machine refused the connection
@@ -135,6 +144,11 @@
     std::int64_t FencedLife = 0;
     std::int64_t LeftEpoch = 0; // epoch of that order if it was a Leave
   };
+  // An instance that the duty's holder asks about.
+  struct Question {
+    TimePoint Since{};
+    TimePoint LastAt{};
+  };
   // An instance that has left the list.
   struct Unlisted {
     Instance Last; // last known state
@@ -151,6 +165,10 @@
   // Probes the members of stalled groups, and unlisted instances.
   void probeSuspects();
   void probeMembers(const std::set<UpstreamKey> &Stalled);
+  // Probes the listed instances that the duty's holder asks about.
+  void probeAsked();
+  // Returns whether the instance has just answered a probe or a request.
+  bool hasJustAnswered(const InstanceId &Id) const;
   // Asks Target for its state, unless a probe of it is in progress or recent.
   void probe(const Instance &Target, bool IsUnlisted);
   // Returns how old the state that Target reports can be at most.
@@ -183,6 +201,8 @@
   std::map<ServiceId, GroupPlanState> Plans;
   std::map<InstanceId, Probe> Probes;
   std::map<InstanceId, Unlisted> Missing;
+  std::map<InstanceId, Question> Asked;
+  ReachCensus Census; // as of the planning run
   TimerSubscription Timer;
   TimerSubscription ScheduledPlan;
   TimePoint StartedAt{};
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -66,7 +66,7 @@
   std::map<UpstreamKey, UpstreamLoad> loadOfOtherEntries() const;
   std::map<ServiceModel, double> demandOfOtherEntries() const;
   std::optional<TimePoint> zoneContactSince(const ZoneId &Zone) const;
-  std::set<InstanceId> reachedByOtherEntries() const;
+  ReachCensus takeCensus() const;
   std::set<UpstreamKey> stalledForOtherEntries() const;
 
 private:
--- a/include/samphirehill/Serving/PeerTable.h
+++ b/include/samphirehill/Serving/PeerTable.h
@@ -37,6 +37,9 @@
   // A relay whose summaries have stopped counts as failed for no longer than
   // this: it may have stopped because other relays were chosen.
   Duration RelayFailureMemory = seconds(5);
+  // An entry that falls silent may go on serving, cut off from this one. For
+  // this long it counts as an entry that has not denied anything.
+  Duration SilentEntryMemory = seconds(4);
 };
 
 // Another entry and its last report. A time point of zero means never.
@@ -86,6 +89,10 @@
     std::map<ServiceModel, double> Demands;
   };
   std::deque<SentReport> SentReports; // the oldest first
+  // The most other entries that were heard at one time, and when that was last
+  // so. Forgotten after PeerSettings::SilentEntryMemory.
+  int MostHeard = 0;
+  TimePoint MostHeardAt{};
   // The relays of this entry's zone that it reported to last.
   std::vector<EntryId> CurrentRelays;
 };
@@ -132,6 +139,27 @@
 std::optional<TimePoint> zoneContactSince(const PeerTable &Table,
                                           const ZoneId &Zone, TimePoint Now);
 
+// What the other entries report about instances that this entry asks about.
+struct ReachCensus {
+  // All entries are heard that were heard a while ago.
+  bool Complete = true;
+  int Entries = 0;                   // that are heard
+  std::map<InstanceId, int> Denials; // entries that can't reach the instance
+  std::set<InstanceId> Reached;      // by some entry
+
+  bool operator==(const ReachCensus &) const = default;
+};
+
+// Returns what the recent reports say.
+ReachCensus takeCensus(const PeerTable &Table, TimePoint Now);
+
+// Returns whether each of the other entries has reported that it can't reach
+// Id. An entry that isn't heard may use Id, so it counts as not having done so.
+bool isDeniedByAll(const ReachCensus &Census, const InstanceId &Id);
+
+// Adds an entry that the platform's store lists. It is expected to be heard.
+PeerEntry &addListedPeer(PeerTable &Table, const EntryId &Entry, TimePoint Now);
+
 // Returns the unlisted instances that some other entry has reached recently.
 std::set<InstanceId> reachedByOtherEntries(const PeerTable &Table,
                                            TimePoint Now);
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -141,6 +141,14 @@
   }
   for (const InstanceId &Each : Report.Reached)
     State.add_reached(Each.str());
+  for (const InstanceId &Each : Report.Asked)
+    State.add_asked(Each.str());
+  for (const auto &[Id, Entries] : Report.Denials) {
+    wire::Denial &Added = *State.add_denials();
+    Added.set_instance(Id.str());
+    Added.set_entries(static_cast<std::uint32_t>(Entries));
+  }
+  State.set_entries(static_cast<std::uint32_t>(Report.Entries));
   for (const auto &[Entry, Sequence] : Report.Included) {
     wire::Included &Added = *State.add_included();
     Added.set_entry(Entry.str());
@@ -184,6 +192,12 @@
         {Each.request(), Each.upstream(), Now - milliseconds(Each.age_ms())});
   for (const std::string &Each : State.reached())
     Report.Reached.insert(InstanceId(Each));
+  for (const std::string &Each : State.asked())
+    Report.Asked.insert(InstanceId(Each));
+  for (const wire::Denial &Each : State.denials())
+    Report.Denials[InstanceId(Each.instance())] =
+        static_cast<int>(Each.entries());
+  Report.Entries = static_cast<int>(State.entries());
   for (const wire::Included &Each : State.included())
     Report.Included[EntryId(Each.entry())] = Each.sequence();
   Report.ListRevision = State.list_revision();
@@ -236,6 +250,10 @@
                        Report.BreakOffs.end());
   addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
+  Sum.Asked.insert(Report.Asked.begin(), Report.Asked.end());
+  for (const auto &[Id, Entries] : Report.Denials)
+    Sum.Denials[Id] += Entries;
+  Sum.Entries += Report.Entries;
   if (std::pair(Report.DutyTerm, Report.DutyRenewal) >
       std::pair(Sum.DutyTerm, Sum.DutyRenewal)) {
     Sum.DutyTerm = Report.DutyTerm;
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -19,6 +19,8 @@
 constexpr Duration ReachedMaxAge = milliseconds(1'000);
 // Unlisted instances are erased after this.
 constexpr Duration UnlistedMaxAge = seconds(20);
+// A question that is not repeated for this long has been settled.
+constexpr Duration QuestionMaxAge = milliseconds(1'000);
 
 const char *toString(OrderKind Kind) {
   switch (Kind) {
@@ -129,6 +131,15 @@
   if (Report.DutyTerm > 0)
     noteHolderReport(Lease, Report.DutyTerm, Report.DutyRenewal,
                      Timers.nowWithSuspension());
+  TimePoint Now = Timers.now();
+  bool IsNew = false;
+  for (const InstanceId &Each : Report.Asked) {
+    auto [Found, Added] = Asked.try_emplace(Each, Question{Now, Now});
+    Found->second.LastAt = Now;
+    IsNew = IsNew || Added;
+  }
+  if (IsNew)
+    probeAsked();
 }
 
 void GroupController::noteUnlisted(const Instance &Last) {
@@ -140,18 +151,62 @@
 
 void GroupController::noteListed(const InstanceId &Id) { Missing.erase(Id); }
 
-std::set<InstanceId> GroupController::reachedUnlisted() const {
-  std::set<InstanceId> Answered;
+bool GroupController::hasJustAnswered(const InstanceId &Id) const {
   TimePoint Now = Timers.now();
+  auto Found = Probes.find(Id);
+  if (Found != Probes.end() && Found->second.AnsweredAt != TimePoint{} &&
+      Now - Found->second.AnsweredAt < ReachedMaxAge)
+    return true;
+  auto Place = Book.Upstreams.lower_bound({Id, 0});
+  return Place != Book.Upstreams.end() && Place->first.Instance == Id &&
+         Now - Place->second.LastAnswerAt < ReachedMaxAge;
+}
+
+std::set<InstanceId> GroupController::reachedInstances() const {
+  std::set<InstanceId> Answered;
   for (const auto &[Id, Missed] : Missing) {
-    auto Found = Probes.find(Id);
-    if (Found != Probes.end() && Found->second.AnsweredAt != TimePoint{} &&
-        Now - Found->second.AnsweredAt < ReachedMaxAge)
+    if (hasJustAnswered(Id))
+      Answered.insert(Id);
+  }
+  for (const auto &[Id, Each] : Asked) {
+    if (hasJustAnswered(Id))
       Answered.insert(Id);
   }
   return Answered;
 }
 
+std::set<InstanceId> GroupController::unreachedHeads() const {
+  std::set<InstanceId> Heads;
+  if (!isDutyHolder())
+    return Heads;
+  for (const auto &[Id, Missed] : Missing) {
+    auto Found = Probes.find(Id);
+    bool Ended = Found != Probes.end() && Found->second.Ended;
+    bool Head = Missed.Last.Group && Missed.Last.Group->Rank == 0;
+    if (Head && !Ended && !hasJustAnswered(Id))
+      Heads.insert(Id);
+  }
+  return Heads;
+}
+
+std::map<InstanceId, int> GroupController::denials() const {
+  std::map<InstanceId, int> Denied;
+  auto DenyIfUnreached = [&](const InstanceId &Id, TimePoint Since) {
+    bool Known = Instances.Instances.contains(Id) || Missing.contains(Id);
+    auto Found = Probes.find(Id);
+    bool Tried = Found != Probes.end() && Found->second.Silent &&
+                 Found->second.UnansweredSentAt >= Since;
+    if (!hasJustAnswered(Id) && (Tried || !Known))
+      Denied[Id] = 1;
+  };
+  for (const auto &[Id, Each] : Asked)
+    DenyIfUnreached(Id, Each.Since);
+  // A relay's summary counts this entry like any other.
+  for (const InstanceId &Id : unreachedHeads())
+    DenyIfUnreached(Id, Missing.at(Id).Since);
+  return Denied;
+}
+
 Liveness GroupController::livenessOf(const InstanceId &Id) const {
   auto Found = Probes.find(Id);
   return Found != Probes.end() && Found->second.Silent ? Liveness::Unclear
@@ -172,8 +227,8 @@
       Found->second.Refused ? Settings.RefusingWait : Settings.UnlistedWait;
   if (Now - Missed.Since < Wait ||
       Now - Found->second.SentAt > Settings.ConfirmedMaxAge ||
-      !isZoneReachable(Missed.Last.Zone) ||
-      Peers.reachedByOtherEntries().contains(Id))
+      !isZoneReachable(Missed.Last.Zone) || hasJustAnswered(Id) ||
+      !isDeniedByAll(Census, Id))
     return Liveness::Unclear;
   return Liveness::Gone;
 }
@@ -249,8 +304,14 @@
 
 void GroupController::plan() {
   TimePoint Now = Timers.now();
+  Census = Peers.takeCensus();
   std::erase_if(Missing, [&](const auto &Entry) {
-    return Now - Entry.second.Since > UnlistedMaxAge;
+    const auto &[Id, Missed] = Entry;
+    return Now - Missed.Since > UnlistedMaxAge && !hasJustAnswered(Id) &&
+           !Census.Reached.contains(Id);
+  });
+  std::erase_if(Asked, [&](const auto &Entry) {
+    return Now - Entry.second.LastAt > QuestionMaxAge;
   });
   if (!Config || !isDutyHolder())
     return;
@@ -382,6 +443,15 @@
       continue;
     probe(Missed.Last, true);
   }
+  probeAsked();
+}
+
+void GroupController::probeAsked() {
+  for (const auto &[Id, Each] : Asked) {
+    auto Found = Instances.Instances.find(Id);
+    if (Found != Instances.Instances.end() && !hasJustAnswered(Id))
+      probe(Found->second.Listed, true);
+  }
 }
 
 // Probes the members of stalled groups, and listed instances whose last probe
@@ -432,6 +502,8 @@
                    Id.str(), Silent ? "silent" : "alive",
                    Silent ? errorOf(Answer)->Message : "answered");
     Finished.Silent = Silent;
+    if (Silent)
+      Finished.UnansweredSentAt = Finished.SentAt;
     Finished.Refused =
         Silent && errorOf(Answer)->Code == ResultCode::ConnectFailed;
     Finished.Ended = Silent && errorOf(Answer)->Code == ResultCode::NotFound;
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -44,7 +44,7 @@
 }
 
 void PeerGossip::addPeer(const EntryDescription &Listed) {
-  PeerEntry &Peer = Table.Peers[Listed.Entry];
+  PeerEntry &Peer = addListedPeer(Table, Listed.Entry, Timers.now());
   Peer.Zone = Listed.Zone;
   Peer.Address = Listed.Address;
   Peer.ProcessorShare = Listed.ProcessorShare;
@@ -166,8 +166,8 @@
   return serving::zoneContactSince(Table, Zone, Timers.now());
 }
 
-std::set<InstanceId> PeerGossip::reachedByOtherEntries() const {
-  return serving::reachedByOtherEntries(Table, Timers.now());
+ReachCensus PeerGossip::takeCensus() const {
+  return serving::takeCensus(Table, Timers.now());
 }
 
 std::set<UpstreamKey> PeerGossip::stalledForOtherEntries() const {
--- a/lib/Serving/PeerTable.cpp
+++ b/lib/Serving/PeerTable.cpp
@@ -144,6 +144,7 @@
                                     TimePoint Now) {
   SummaryEntry &Stored = Table.Summaries[Table.Zone][Table.Self];
   EntryReport Sum;
+  Sum.Entries = 0;
   Sum.Entry = Table.Self;
   Sum.Zone = Table.Zone;
   Sum.Life = Own.Life;
@@ -170,6 +171,7 @@
 EntryReport summarizeOtherZones(const PeerTable &Table, const EntryReport &Own,
                                 TimePoint Now) {
   EntryReport Sum;
+  Sum.Entries = 0;
   Sum.Entry = Table.Self;
   Sum.Life = Own.Life;
   Sum.Sequence = Own.Sequence;
@@ -283,6 +285,37 @@
   return Sum;
 }
 
+// Calls Visit with recent reports and summaries that together include each
+// entry that is heard once.
+template <typename Visitor>
+void visitEachOnce(const PeerTable &Table, TimePoint Now, Visitor Visit) {
+  if (usesRelays(Table)) {
+    for (const EntryReport *Each : currentSummaries(Table, Now))
+      Visit(*Each);
+    return;
+  }
+  for (const auto &[Entry, Peer] : Table.Peers) {
+    if (isFresh(Peer.LastReportAt, Table, Now))
+      Visit(Peer.LastReport);
+  }
+}
+
+int countHeard(const PeerTable &Table, TimePoint Now) {
+  int Heard = 0;
+  visitEachOnce(Table, Now,
+                [&](const EntryReport &Each) { Heard += Each.Entries; });
+  return Heard;
+}
+
+void noteHeard(PeerTable &Table, TimePoint Now) {
+  int Heard = countHeard(Table, Now);
+  if (Heard < Table.MostHeard &&
+      Now - Table.MostHeardAt <= Table.Settings.SilentEntryMemory)
+    return;
+  Table.MostHeard = Heard;
+  Table.MostHeardAt = Now;
+}
+
 // Calls Visit with each recent report and summary.
 template <typename Visitor>
 void visitRecent(const PeerTable &Table, TimePoint Now, Visitor Visit) {
@@ -306,6 +339,7 @@
 
 std::vector<PlannedMessage>
 planMessages(PeerTable &Table, const EntryReport &Own, TimePoint Now) {
+  noteHeard(Table, Now);
   if (!usesRelays(Table))
     return planDirect(Table, Own);
   Table.SentReports.push_back({Own.Sequence, Own.Loads, Own.Demands});
@@ -418,6 +452,37 @@
   return Since;
 }
 
+ReachCensus takeCensus(const PeerTable &Table, TimePoint Now) {
+  ReachCensus Census;
+  Census.Reached = reachedByOtherEntries(Table, Now);
+  visitEachOnce(Table, Now, [&](const EntryReport &Each) {
+    Census.Entries += Each.Entries;
+    for (const auto &[Id, Entries] : Each.Denials)
+      Census.Denials[Id] += Entries;
+  });
+  Census.Complete = Census.Entries >= Table.MostHeard;
+  return Census;
+}
+
+bool isDeniedByAll(const ReachCensus &Census, const InstanceId &Id) {
+  if (!Census.Complete || Census.Reached.contains(Id))
+    return false;
+  auto Found = Census.Denials.find(Id);
+  int Denied = Found == Census.Denials.end() ? 0 : Found->second;
+  return Denied >= Census.Entries;
+}
+
+PeerEntry &addListedPeer(PeerTable &Table, const EntryId &Entry,
+                         TimePoint Now) {
+  auto [Found, IsNew] = Table.Peers.try_emplace(Entry);
+  if (IsNew) {
+    Table.MostHeard =
+        std::max(Table.MostHeard, static_cast<int>(Table.Peers.size()));
+    Table.MostHeardAt = Now;
+  }
+  return Found->second;
+}
+
 std::set<InstanceId> reachedByOtherEntries(const PeerTable &Table,
                                            TimePoint Now) {
   std::set<InstanceId> All;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -471,7 +471,9 @@
     Report.DutyTerm = Groups.dutyRecord().Term;
     Report.DutyRenewal = Groups.dutyRecord().Renewal;
   }
-  Report.Reached = Groups.reachedUnlisted();
+  Report.Reached = Groups.reachedInstances();
+  Report.Asked = Groups.unreachedHeads();
+  Report.Denials = Groups.denials();
   Report.ListRevision = Reader.FollowedRevision ? Reader.FollowedRevision() : 0;
   Report.ListDigest = Changes.Digest;
   Report.ZonesOut = Instances.ZonesOut;
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <asio/ip/udp.hpp>
+#include <optional>
 
 namespace samphirehill::serving {
 namespace {
@@ -78,6 +80,33 @@
     Controller.setConfiguration(std::make_shared<const Configuration>(Config));
     TimePoint End = Timers.now() + Limit;
     runUntil(Context, [&] { return wasOrdered(Last) || Timers.now() > End; });
+    if (OnEnd)
+      OnEnd(Controller);
+  }
+
+  // Adds the entry edge-2, which sends a report with the content of State every
+  // 50 ms.
+  void addPeer(const EntryReport &State) {
+    SocketAddress Own{"127.0.0.1", freePort()};
+    auto Listening = capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(Peers.listen(Own));
+      return true;
+    });
+    ASSERT_FALSE(errorOf(Listening));
+    PeerSocket.emplace(Context, asio::ip::udp::endpoint(
+                                    asio::ip::make_address("127.0.0.1"), 0));
+    PeerTimer =
+        Timers.every(milliseconds(50), [this, State = State, Own]() mutable {
+          State.Entry = EntryId("edge-2");
+          State.Zone = ZoneId("north");
+          State.Life = 1;
+          ++State.Sequence;
+          PeerSocket->send_to(
+              asio::buffer(encodeMessage({State, {}}, Timers.now())),
+              {asio::ip::make_address("127.0.0.1"), Own.Port});
+        });
+    ASSERT_TRUE(runUntil(
+        Context, [this] { return Peers.peers().contains(EntryId("edge-2")); }));
   }
 
   bool wasOrdered(OrderKind Kind) const {
@@ -113,12 +142,65 @@
   Configuration Config;
   std::vector<GroupOrder> Orders;
   std::function<void(const GroupOrder &)> OnOrder;
+  std::function<void(GroupController &)> OnEnd; // after the run
+  std::optional<asio::ip::udp::socket> PeerSocket;
+  TimerSubscription PeerTimer;
 };
 
 TEST_F(GroupControllerTest, ReassignsMembersWhenNoEntryReachesHead) {
   EXPECT_TRUE(memberReassigned(ResultCode::Timeout, seconds(4)));
 }
 
+// Guards against a member that joins another group while its head serves an
+// entry that has lost the store and so doesn't know that the head has left the
+// list (TWO).
+TEST_F(GroupControllerTest, KeepsMembersWhileAnEntryUsesTheHead) {
+  EntryReport UsesHead;
+  UsesHead.Loads[{InstanceId("a"), 7}] = {6, 0, 0, 1};
+  addPeer(UsesHead);
+  EXPECT_FALSE(memberReassigned(ResultCode::Timeout, milliseconds(1'500)));
+}
+
+// An entry that has no request at the head may send one at any time.
+TEST_F(GroupControllerTest, KeepsMembersWhileAnEntryHasNotDeniedTheHead) {
+  addPeer({});
+  EXPECT_FALSE(memberReassigned(ResultCode::Timeout, milliseconds(1'500)));
+}
+
+TEST_F(GroupControllerTest, ReassignsMembersWhenAllEntriesDenyTheHead) {
+  EntryReport Denies;
+  Denies.Denials[InstanceId("a")] = 1;
+  addPeer(Denies);
+  OnEnd = [](GroupController &Controller) {
+    EXPECT_TRUE(Controller.unreachedHeads().contains(InstanceId("a")));
+  };
+  EXPECT_TRUE(memberReassigned(ResultCode::Timeout, seconds(4)));
+}
+
+// An entry answers for the instances that the duty's holder asks about, also
+// for those that its own list still contains.
+TEST_F(GroupControllerTest, TellsWhetherItReachesInstancesAskedAbout) {
+  add(member("a", "small.7", 7, 0, MemberPhase::Open));
+  EntryReport Asks;
+  for (const char *Each : {"a", "b", "unknown"})
+    Asks.Asked.insert(InstanceId(Each));
+  OnEnd = [](GroupController &Controller) {
+    EXPECT_EQ(Controller.reachedInstances(),
+              std::set<InstanceId>{InstanceId("a")});
+    EXPECT_EQ(Controller.denials(),
+              (std::map<InstanceId, int>{{InstanceId("b"), 1},
+                                         {InstanceId("unknown"), 1}}));
+  };
+  runController(
+      [](const Instance &To) -> Outcome<Instance> {
+        if (To.Id == InstanceId("b"))
+          return Error{ResultCode::Timeout, "member"};
+        return To;
+      },
+      milliseconds(300), OrderKind::Stage,
+      [&](GroupController &Controller) { Controller.noteReport(Asks); });
+}
+
 TEST_F(GroupControllerTest, ReassignsMembersWhenHeadHasRestarted) {
   EXPECT_TRUE(memberReassigned(ResultCode::NotFound, seconds(4)));
 }
--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -48,6 +48,8 @@
         Own.Loads[Group] = {1, 10};
         Own.Demands[Requested] = 2.0;
         Own.ListRevision = 1;
+        if (Denying.contains(Name))
+          Own.Denials[Group.Instance] = 1;
         for (const PlannedMessage &Each : planMessages(Table, Own, Now))
           deliver(Name, Each);
       }
@@ -86,6 +88,7 @@
   std::map<EntryId, PeerTable> Tables;
   std::map<EntryId, int> Messages;
   std::set<EntryId> Stopped;
+  std::set<EntryId> Denying; // report that they can't reach Group's instance
   std::set<std::pair<ZoneId, ZoneId>> CutLinks;
   TimePoint Now{seconds(1'000)};
   std::uint64_t Sequence = 0;
@@ -186,6 +189,48 @@
   EXPECT_LT(Simulation.Now - *Since, seconds(2));
 }
 
+bool isDenied(const PeerSimulation &Simulation, const EntryId &At) {
+  return isDeniedByAll(takeCensus(Simulation.Tables.at(At), Simulation.Now),
+                       Group.Instance);
+}
+
+// Guards against an instance that counts as gone while one entry, near or far,
+// may still use it (TWO).
+TEST(PeerTableTest, CountsAnInstanceAsDeniedOnlyWhenAllEntriesDenyIt) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    for (const auto &[Entry, Table] : Simulation.Tables)
+      Simulation.Denying.insert(Entry);
+    EntryId Last("z1-2");
+    Simulation.Denying.erase(Last);
+    Simulation.run(12);
+    for (const auto &[Entry, Table] : Simulation.Tables) {
+      if (Entry != Last)
+        ASSERT_FALSE(isDenied(Simulation, Entry)) << Entry.str();
+    }
+    Simulation.Denying.insert(Last);
+    Simulation.run(6);
+    for (const auto &[Entry, Table] : Simulation.Tables)
+      ASSERT_TRUE(isDenied(Simulation, Entry)) << Entry.str();
+  }
+}
+
+// An entry that is no longer heard may have been cut off from this one only.
+TEST(PeerTableTest, WaitsForSilentEntriesBeforeAnInstanceIsDenied) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(12);
+    for (const auto &[Entry, Table] : Simulation.Tables)
+      Simulation.Denying.insert(Entry);
+    Simulation.Stopped.insert(EntryId("z1-2"));
+    EntryId At("z0-1");
+    Simulation.run(15); // 3 s
+    EXPECT_FALSE(isDenied(Simulation, At));
+    Simulation.run(15);
+    EXPECT_TRUE(isDenied(Simulation, At));
+  }
+}
+
 // The load that an entry sees never exceeds the load that runs, whichever
 // entries stop and come back.
 RC_GTEST_PROP(PeerTableTest, NeverCountsLoadTwice, ()) {
