Tell entries with which contact begins which requests are refused

Cause: a guard of the whole fleet lived in each process, and its evidence was told for 2 s only, by the entry that had seen it. An entry that starts later never heard of it, nor did one that had been cut off or suspended meanwhile.

Now an entry that hears a peer for the first time, in a new life or after a gap reports, at once and for 2 s, the break-offs of all requests that it refuses, 64 requests at most. Nothing is added to reports otherwise. Summaries of relays hold each break-off once.

Also: at 4,096 requests no new break-off was recorded, so many broken requests switched the guard off. The request with the fewest break-offs makes room now, with a log line (break_offs_dropped).

Evidence: ServingEntryTest.TellsStartedEntryWhichRequestsAreRefused and CrashRecordTest.MakesRoomForNewRequestsAndKeepsRefusedOnes failed with the two changes taken out (0 of 3 break-offs heard; request 5 not recorded).

Open: when all entries end at once nothing is left to tell them.

--- a/include/samphirehill/Serving/CrashRecord.h
+++ b/include/samphirehill/Serving/CrashRecord.h
@@ -34,7 +34,12 @@
   // incarnations. The operators bound the upstreams lost after the third.
   int MaxBreakOffs = 3;
   Duration Retention = seconds(60);
-  std::size_t MaxRequests = 4'096; // recorded at one time
+  // Recorded at one time. Beyond that, the request with the fewest break-offs
+  // makes room, among equals the one whose last break-off is the oldest.
+  std::size_t MaxRequests = 4'096;
+  std::uint64_t Dropped = 0; // requests that have made room so far
+  // Refused requests in one report, those with the latest break-offs.
+  std::size_t MaxReported = 64;
   // Time of the first break-off, by request and upstream.
   std::unordered_map<std::uint64_t, std::map<std::uint64_t, TimePoint>>
       BreakOffs;
@@ -49,6 +54,15 @@
 // Returns whether Request, a fingerprint, may be sent to an upstream.
 bool mayRun(const CrashRecord &Record, std::uint64_t Request, TimePoint Now);
 
+// Returns the requests that are refused now, with their break-offs, as far as
+// one report holds them.
+std::vector<BreakOff> refusedBreakOffs(const CrashRecord &Record,
+                                       TimePoint Now);
+
+// Adds Report to Sum without repetitions.
+void addBreakOffs(std::vector<BreakOff> &Sum,
+                  const std::vector<BreakOff> &Report);
+
 // Erases the requests all of whose break-offs are older than Retention, and the
 // elements of Recent that are older than ReportTime.
 void expire(CrashRecord &Record, Duration ReportTime, TimePoint Now);
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -55,6 +55,10 @@
 
   const std::map<EntryId, PeerEntry> &peers() const { return Table.Peers; }
 
+  // Returns when a peer was last heard that has started since, or from which no
+  // report had come for a while: it may lack what was sent meanwhile.
+  TimePoint contactGainedAt() const { return ContactGainedAt; }
+
   // See PeerTable.
   bool isListRelayed() const;
   bool isRelayCandidate() const;
@@ -72,6 +76,8 @@
 private:
   void startReceive();
   void handleDatagram(std::size_t Size);
+  // Notes whether contact with Sender begins, or begins again, with its report.
+  void noteContact(const EntryReport &Sender);
   void sendReports();
   void logRelays() const;
   void sendTo(const EntryId &Entry, const std::string &Bytes);
@@ -87,6 +93,7 @@
   PeerTable Table;
   TimerSubscription Timer;
   std::uint64_t Sequence = 0;
+  TimePoint ContactGainedAt{};
 };
 
 } // namespace samphirehill::serving
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -148,6 +148,8 @@
   // Exchanges blamed parts of prompts through the store with entries that no
   // report reaches.
   void exchangeBlames();
+  // Logs that break-offs have made room for others, if they have.
+  void logDroppedBreakOffs();
   // Returns whether reports arrive from all zones that have entries.
   bool hearsAllZones() const;
   // Logs the parts of prompts that have come to be blamed or been released.
@@ -180,6 +182,7 @@
   UpstreamBook Book;
   RetryShare Retries;
   CrashRecord Crashes;
+  std::uint64_t LoggedDropped = 0; // of Crashes.Dropped
   PartSuspects Suspects;
   BlameStore Blames;
   std::set<PromptPart> BlamedParts; // as last logged
--- a/lib/Serving/CrashRecord.cpp
+++ b/lib/Serving/CrashRecord.cpp
@@ -3,8 +3,42 @@
 #include "samphirehill/Core/Hash.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace samphirehill::serving {
+namespace {
+
+using BreakOffTimes = std::map<std::uint64_t, TimePoint>; // by upstream
+
+TimePoint lastOf(const BreakOffTimes &Times) {
+  TimePoint Last{};
+  for (const auto &[Upstream, SeenAt] : Times)
+    Last = std::max(Last, SeenAt);
+  return Last;
+}
+
+bool isRefused(const CrashRecord &Record, const BreakOffTimes &Times,
+               TimePoint Now) {
+  auto Counted =
+      std::count_if(Times.begin(), Times.end(), [&](const auto &Seen) {
+        return Now - Seen.second < Record.Retention;
+      });
+  return Counted >= Record.MaxBreakOffs;
+}
+
+void makeRoom(CrashRecord &Record) {
+  auto Rank = [](const auto &Request) {
+    return std::pair(Request.second.size(), lastOf(Request.second));
+  };
+  auto Least = std::min_element(
+      Record.BreakOffs.begin(), Record.BreakOffs.end(),
+      [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
+  Record.BreakOffs.erase(Least);
+  ++Record.Dropped;
+}
+
+} // namespace
 
 std::uint64_t requestFingerprint(std::string_view Target, std::string_view Key,
                                  std::string_view Body) {
@@ -15,7 +49,7 @@
 void noteBreakOff(CrashRecord &Record, const BreakOff &Observed) {
   if (Record.BreakOffs.size() >= Record.MaxRequests &&
       !Record.BreakOffs.contains(Observed.Request))
-    return;
+    makeRoom(Record);
   Record.BreakOffs[Observed.Request].emplace(Observed.Upstream,
                                              Observed.SeenAt);
 }
@@ -27,12 +61,37 @@
 
 bool mayRun(const CrashRecord &Record, std::uint64_t Request, TimePoint Now) {
   auto Found = Record.BreakOffs.find(Request);
-  if (Found == Record.BreakOffs.end())
-    return true;
-  auto Counted = std::count_if(
-      Found->second.begin(), Found->second.end(),
-      [&](const auto &Seen) { return Now - Seen.second < Record.Retention; });
-  return Counted < Record.MaxBreakOffs;
+  return Found == Record.BreakOffs.end() ||
+         !isRefused(Record, Found->second, Now);
+}
+
+std::vector<BreakOff> refusedBreakOffs(const CrashRecord &Record,
+                                       TimePoint Now) {
+  std::vector<std::pair<TimePoint, std::uint64_t>> Refused;
+  for (const auto &[Request, Times] : Record.BreakOffs) {
+    if (isRefused(Record, Times, Now))
+      Refused.emplace_back(lastOf(Times), Request);
+  }
+  std::sort(Refused.rbegin(), Refused.rend());
+  if (Refused.size() > Record.MaxReported)
+    Refused.resize(Record.MaxReported);
+  std::vector<BreakOff> Report;
+  for (const auto &[Last, Request] : Refused) {
+    for (const auto &[Upstream, SeenAt] : Record.BreakOffs.at(Request))
+      Report.push_back({Request, Upstream, SeenAt});
+  }
+  return Report;
+}
+
+void addBreakOffs(std::vector<BreakOff> &Sum,
+                  const std::vector<BreakOff> &Report) {
+  std::set<std::pair<std::uint64_t, std::uint64_t>> Known;
+  for (const BreakOff &Each : Sum)
+    Known.emplace(Each.Request, Each.Upstream);
+  for (const BreakOff &Each : Report) {
+    if (Known.emplace(Each.Request, Each.Upstream).second)
+      Sum.push_back(Each);
+  }
 }
 
 void expire(CrashRecord &Record, Duration ReportTime, TimePoint Now) {
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -246,8 +246,7 @@
     Sum.Loads[Key] += Load;
   for (const auto &[Kind, PerSecond] : Report.Demands)
     Sum.Demands[Kind] += PerSecond;
-  Sum.BreakOffs.insert(Sum.BreakOffs.end(), Report.BreakOffs.begin(),
-                       Report.BreakOffs.end());
+  addBreakOffs(Sum.BreakOffs, Report.BreakOffs);
   addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
   Sum.Asked.insert(Report.Asked.begin(), Report.Asked.end());
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -79,16 +79,26 @@
     spdlog::warn("event=peer_message_unreadable bytes={}", Size);
     return;
   }
-  const EntryReport &Own = Message->Own;
-  auto Known = Table.Peers.find(Own.Entry);
-  if (Known == Table.Peers.end() || Known->second.LastReport.Life != Own.Life)
-    spdlog::info("event=peer_heard entry={} zone={}", Own.Entry.str(),
-                 Own.Zone.str());
+  noteContact(Message->Own);
   SocketAddress From{Sender.address().to_string(), Sender.port()};
   for (const EntryReport &Each : applyMessage(Table, *Message, From, Now))
     OnReport(Each);
 }
 
+void PeerGossip::noteContact(const EntryReport &Sender) {
+  TimePoint Now = Timers.now();
+  auto Known = Table.Peers.find(Sender.Entry);
+  bool IsNew = Known == Table.Peers.end() ||
+               Known->second.LastReport.Life != Sender.Life;
+  if (IsNew)
+    spdlog::info("event=peer_heard entry={} zone={}", Sender.Entry.str(),
+                 Sender.Zone.str());
+  if (!IsNew && Now - Known->second.LastReportAt <= Table.Settings.MaxReportAge)
+    return;
+  ContactGainedAt = Now;
+  sendSoon();
+}
+
 void PeerGossip::sendReports() {
   TimePoint Now = Timers.now();
   EntryReport Own = MakeReport();
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -34,7 +34,8 @@
 // that left without a notice must get no new requests when it ends, and other
 // entries may have seen it leave earlier.
 constexpr double LapsedDrainShare = 0.4;
-// How long this entry's break-offs are sent to the other entries.
+// How long this entry's break-offs are sent to the other entries, and those of
+// refused requests to entries with which contact begins.
 constexpr Duration BreakOffSharing = seconds(2);
 // Delay of the first trial of a blamed part while some zone can't be heard:
 // each side of the cut makes trials of its own.
@@ -466,6 +467,8 @@
   }
   Report.Demands = Flows.requestRates();
   Report.BreakOffs = Crashes.Recent;
+  if (Now - Peers.contactGainedAt() <= BreakOffSharing)
+    addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
   Report.Suspects = suspectReport(Suspects, Now);
   if (Groups.isDutyHolder()) {
     Report.DutyTerm = Groups.dutyRecord().Term;
@@ -530,6 +533,15 @@
       CutOff ? CutOffTrialDelay : SuspectSettings{}.TrialDelay;
 }
 
+void ServingEntry::logDroppedBreakOffs() {
+  if (Crashes.Dropped == LoggedDropped)
+    return;
+  spdlog::warn("event=break_offs_dropped requests={} kept={}",
+               Crashes.Dropped - LoggedDropped, Crashes.BreakOffs.size());
+  Metrics.set("break_offs_dropped", static_cast<double>(Crashes.Dropped));
+  LoggedDropped = Crashes.Dropped;
+}
+
 void ServingEntry::logBlamedParts() {
   std::set<PromptPart> Blamed = blamedParts(Suspects);
   for (PromptPart Each : Blamed) {
@@ -630,6 +642,7 @@
   expireOldChanges(Changes, Now);
   eraseExpiredNotices(Book.Notices, Timers.nowWithSuspension());
   expire(Crashes, BreakOffSharing, Now);
+  logDroppedBreakOffs();
   expireSuspects(Suspects, Now);
   eraseEndedLives(Book, Now);
   exchangeBlames();
--- a/test/Serving/CrashRecordTest.cpp
+++ b/test/Serving/CrashRecordTest.cpp
@@ -37,6 +37,37 @@
   EXPECT_TRUE(Record.Recent.empty());
 }
 
+// Guards against requests that crash engines and are forgotten because many
+// others have ended without an answer.
+TEST(CrashRecordTest, MakesRoomForNewRequestsAndKeepsRefusedOnes) {
+  CrashRecord Record;
+  Record.MaxRequests = 3;
+  for (std::uint64_t Upstream : {10, 11, 12})
+    noteBreakOff(Record, {1, Upstream, Start});
+  for (std::uint64_t Request : {2, 3, 4, 5})
+    noteBreakOff(Record,
+                 {Request, 10, Start + seconds(static_cast<int>(Request))});
+  EXPECT_FALSE(mayRun(Record, 1, Start));
+  EXPECT_EQ(Record.BreakOffs.size(), 3U);
+  EXPECT_TRUE(Record.BreakOffs.contains(5));
+  EXPECT_FALSE(Record.BreakOffs.contains(2));
+  EXPECT_EQ(Record.Dropped, 2U);
+}
+
+TEST(CrashRecordTest, ReportsRefusedRequestsOnlyAndNoneTwice) {
+  CrashRecord Record;
+  for (std::uint64_t Upstream : {10, 11, 12})
+    noteBreakOff(Record, {1, Upstream, Start});
+  noteBreakOff(Record, {2, 10, Start});
+  std::vector<BreakOff> Report = refusedBreakOffs(Record, Start + seconds(50));
+  EXPECT_EQ(Report, (std::vector<BreakOff>{
+                        {1, 10, Start}, {1, 11, Start}, {1, 12, Start}}));
+  std::vector<BreakOff> Sum{{1, 11, Start}};
+  addBreakOffs(Sum, Report);
+  EXPECT_EQ(Sum.size(), 3U);
+  EXPECT_TRUE(refusedBreakOffs(Record, Start + Record.Retention).empty());
+}
+
 TEST(CrashRecordTest, FingerprintDiffersByPathKeyAndBody) {
   std::uint64_t Fingerprint = requestFingerprint("/a", "key", "body");
   EXPECT_EQ(Fingerprint, requestFingerprint("/a", "key", "body"));
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/ip/udp.hpp>
+
 namespace samphirehill::serving {
 namespace {
 
@@ -140,6 +142,26 @@
            Answer.find(Body) != std::string::npos;
   }
 
+  // Sends Report to the entry from the socket Of.
+  void sendReport(asio::ip::udp::socket &Of, const EntryReport &Report) {
+    Of.send_to(asio::buffer(encodeMessage({Report, {}}, Timers.now())),
+               {asio::ip::make_address("127.0.0.1"), Settings.Peers.Port});
+  }
+
+  // Returns the next message that the socket Of receives from the entry.
+  std::optional<EntryMessage> receiveMessage(asio::ip::udp::socket &Of) {
+    std::array<char, 65'536> Buffer{};
+    std::optional<std::size_t> Size;
+    Of.async_receive(asio::buffer(Buffer),
+                     [&](std::error_code Failed, std::size_t Received) {
+                       if (!Failed)
+                         Size = Received;
+                     });
+    if (!runUntil(Context, [&] { return Size.has_value(); }))
+      return std::nullopt;
+    return decodeMessage(std::string(Buffer.data(), *Size), Timers.now());
+  }
+
   void runFor(Duration Length) {
     TimePoint End = Timers.now() + Length;
     runUntil(Context, [&] { return Timers.now() >= End; });
@@ -209,6 +231,33 @@
   EXPECT_TRUE(succeededWith(post("/stream/"), "data: x"));
 }
 
+// Guards against a restarted entry that lets a request crash engines again
+// because it hears only of the latest crashes (BUDGET).
+TEST_F(ServingEntryTest, TellsStartedEntryWhichRequestsAreRefused) {
+  asio::ip::udp::endpoint Any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::udp::socket First(Context, Any);
+  asio::ip::udp::socket Started(Context, Any);
+  EntryReport Crashed;
+  Crashed.Entry = EntryId("edge-2");
+  Crashed.Zone = ZoneId("north");
+  Crashed.Life = Crashed.Sequence = 1;
+  for (std::uint64_t Upstream : {10, 11, 12})
+    Crashed.BreakOffs.push_back({7, Upstream, Timers.now() - seconds(20)});
+  sendReport(First, Crashed);
+  ASSERT_TRUE(receiveMessage(First));
+  runFor(milliseconds(2'500));
+  EntryReport Joins;
+  Joins.Entry = EntryId("edge-3");
+  Joins.Zone = ZoneId("north");
+  Joins.Life = Joins.Sequence = 1;
+  sendReport(Started, Joins);
+  TimePoint SentAt = Timers.now();
+  std::optional<EntryMessage> Heard = receiveMessage(Started);
+  ASSERT_TRUE(Heard);
+  EXPECT_EQ(Heard->Own.BreakOffs.size(), 3U);
+  EXPECT_LT(toMilliseconds(Timers.now() - SentAt), 150);
+}
+
 TEST_F(ServingEntryTest, StopsUsingIdleGroupWhenMemberLapses) {
   Instance Lapsing;
   for (int Rank = 0; Rank < 4; ++Rank) {
