Complete paged lists with the changes made between their pages

The watch went on from the revision of the last page, so a change of an object on an earlier page, made after that page was read, was in neither the list nor the watch.

If the store's revision has moved between the first and the last page, the changes since the first are read (one call more) and merged into the list before anybody sees it. A change that is older than the object listed has no effect, nor has a removal older than an object that was created again on a later page, so no engine seems to vanish and come back. The watch goes on from the revision of that answer. If the store has dropped that history (410), the list is used as it is, the watch from the first page's revision finds the history gone, and the list is read again: at once, then after 150 to 800 ms, so that it comes to an end.

Evidence: StoreTest.IncludesChangesMadeBetweenThePagesOfAList, with the change after the first or the second of three pages, and UsesListWhenChangesBetweenItsPagesAreGone failed before this change.

--- a/include/samphirehill/Serving/WatchPlan.h
+++ b/include/samphirehill/Serving/WatchPlan.h
@@ -28,6 +28,7 @@
   // The store could not be read for so long that objects may have expired.
   bool Outage = false;
   int Failures = 0;          // failed and repeated calls since the last answer
+  int HistoryGaps = 0;       // lists since the last watch that was answered
   int Deferrals = 0;         // failed calls since then that were not repeated
   TimePoint LostAt{};        // first failed call since the last answer
   TimePoint DeferredUntil{}; // latest end of the phase Deferring
@@ -75,6 +76,8 @@
 WatchStep noteChanges(WatchPlan &Plan, std::int64_t Revision, bool HasChanges,
                       const WatchView &View);
 // Records that the store no longer holds the changes since the plan's revision.
+// The plan lists again, after a pause if the list before this one has been of
+// no use for the same reason.
 WatchStep noteHistoryGone(WatchPlan &Plan);
 // Records that a call failed.
 WatchStep noteFailure(WatchPlan &Plan, const WatchView &View);
--- a/lib/Serving/WatchPlan.cpp
+++ b/lib/Serving/WatchPlan.cpp
@@ -89,11 +89,15 @@
 WatchStep noteChanges(WatchPlan &Plan, std::int64_t Revision, bool HasChanges,
                       const WatchView &View) {
   noteAnswer(Plan, Revision);
+  Plan.HistoryGaps = 0;
   return nextStep(Plan, HasChanges ? View.Pause : Duration::zero(), View);
 }
 
 WatchStep noteHistoryGone(WatchPlan &Plan) {
-  return startCall(Plan, WatchCall::List);
+  if (Plan.HistoryGaps++ == 0)
+    return startCall(Plan, WatchCall::List);
+  return pause(Plan, WatchCall::List,
+               doubled(FirstRetryDelay, Plan.HistoryGaps - 2, MaxRetryDelay));
 }
 
 WatchStep noteFailure(WatchPlan &Plan, const WatchView &View) {
--- a/test/Platform/StoreTest.cpp
+++ b/test/Platform/StoreTest.cpp
@@ -99,6 +99,58 @@
             std::string::npos);
 }
 
+// Guards against a change that is made between two pages of a list and never
+// seen, such as an engine that begins to leave (DRAIN).
+TEST_F(StoreTest, IncludesChangesMadeBetweenThePagesOfAList) {
+  for (int Gap : {1, 2}) { // after this page
+    Received.clear();
+    ScriptedServer Server(Context, [&](ScriptedConnection &To, int Number) {
+      std::int64_t Revision = Number > Gap ? 6 : 5;
+      if (Number <= 3)
+        To.send(reply(
+            200,
+            {{"items", {object(std::string(1, 'a' + Number - 1), Number, 10)}},
+             {"truncated", Number < 3},
+             {"store_revision", Revision}}));
+      if (Number == 4)
+        To.send(reply(
+            200,
+            {{"events", {{{"removed", false}, {"object", object("a", 6, 11)}}}},
+             {"store_revision", 6}}));
+    });
+    startWatch(Server);
+    EXPECT_TRUE(awaitReceived("c=10"));
+    EXPECT_EQ(Received,
+              (std::vector<std::string>{"all", "a=11", "b=10", "c=10"}));
+    ASSERT_TRUE(runUntil(Context, [&] { return Server.requests() == 5; }));
+    EXPECT_NE(Server.Heads[3].find("watch=5"), std::string::npos);
+    EXPECT_NE(Server.Heads[4].find("watch=6"), std::string::npos);
+    Watch.reset();
+  }
+}
+
+// The list is used even if the store has dropped the changes made while it was
+// read; then it is read again, at growing intervals.
+TEST_F(StoreTest, UsesListWhenChangesBetweenItsPagesAreGone) {
+  int Revision = 5;
+  std::vector<TimePoint> ListedAt;
+  ScriptedServer Server(Context, [&](ScriptedConnection &To, int) {
+    const std::string &Head = Server.Heads.back();
+    if (Head.find("watch=") != std::string::npos)
+      return To.send(reply(410, {}));
+    bool First = Head.find("after=") == std::string::npos;
+    if (First)
+      ListedAt.push_back(Timers.now());
+    To.send(reply(200, {{"items", {object(First ? "a" : "b", 1, 10)}},
+                        {"truncated", First},
+                        {"store_revision", ++Revision}}));
+  });
+  startWatch(Server);
+  EXPECT_TRUE(awaitReceived("b=10"));
+  ASSERT_TRUE(runUntil(Context, [&] { return ListedAt.size() == 4; }));
+  EXPECT_GE(toMilliseconds(ListedAt[3] - ListedAt[2]), 300);
+}
+
 // After each kind of failed or unreadable answer to a watch, the watch lists or
 // asks again, so that no change is lost.
 TEST_F(StoreTest, ListsAgainAfterEachFault) {
