Count a break-off only if the other side ended the connection

What callers saw: an engine that lives on sends an event of over 256 KB, bytes that are no answer, or an answer without a seal.

Cause: this side closes the connection of an unusable answer, and that end was recorded like one of the engine's. Exchanges report it as Unusable now. The request may have run, so nothing else changes for it; only a Broken connection counts as a sign of a crash.

A stream that ends within an event still counts: with neither length nor chunks its end is the end of the connection.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -24,7 +24,8 @@
   NotSent,         // no byte of the request left this process
   Refused,         // not sent either, as nothing listens at the address
   ConnectTimedOut, // not sent either, as the peer did not answer the connect
-  Broken,          // the peer may have run the request
+  Broken,          // the connection ended; the peer may have run the request
+  Unusable, // the answer can't be used; the peer may have run the request
 };
 
 // Callbacks of one request. Either OnEnd or OnFailure is called last, unless
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -537,7 +537,7 @@
   void abandonAttempt(const std::string &Cause) {
     if (Attempt)
       Attempt->cancel();
-    attemptFailed(ExchangeFailure::Broken, Cause);
+    attemptFailed(ExchangeFailure::Unusable, Cause);
   }
 
   // Forwards the events that Part completes. Bytes that complete no event do
@@ -591,9 +591,9 @@
       return streamComplete();
     bool Success = Collected.Status >= 200 && Collected.Status < 300;
     if (Success && !CollectedFacts.Sealed)
-      return attemptFailed(ExchangeFailure::Broken, "answer without seal");
+      return attemptFailed(ExchangeFailure::Unusable, "answer without seal");
     if (Success && HeadForwarded)
-      return attemptFailed(ExchangeFailure::Broken,
+      return attemptFailed(ExchangeFailure::Unusable,
                            "answer to a resumed stream is not an event stream");
     if (CollectedFacts.NotRun)
       return refusedByUpstream();
@@ -649,7 +649,8 @@
   void attemptFailed(ExchangeFailure Kind, const std::string &Cause) {
     Attempt.reset();
     UpstreamKey Key = *CurrentUpstream;
-    bool Ran = Kind == ExchangeFailure::Broken;
+    bool Ran =
+        Kind == ExchangeFailure::Broken || Kind == ExchangeFailure::Unusable;
     spdlog::warn("event=attempt_failed request={} attempt={} upstream={} "
                  "sent={} head={} events={} begun_ms={} parts={} cause=\"{}\" "
                  "after_ms={}",
@@ -673,7 +674,11 @@
     MayHaveRun = true;
     ReachedUpstream = true;
     ++Runs;
-    noteOwnBreakOff(shared().Crashes, {Fingerprint, upstreamHash(Key), now()});
+    // This side has closed the connection of an unusable answer, so that is no
+    // sign of a crash.
+    if (Kind == ExchangeFailure::Broken)
+      noteOwnBreakOff(shared().Crashes,
+                      {Fingerprint, upstreamHash(Key), now()});
     retryBroken("broken");
   }
 
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -221,11 +221,13 @@
       }
       std::size_t Taken = Reader.read(Bytes);
       if (Reader.error() != ReadError::None)
-        return fail("answer is malformed");
+        return fail("answer is malformed", ExchangeFailure::NotSent,
+                    ExchangeFailure::Unusable);
       if (!Socket.is_open())
         return;
       if (OtherAnswers > MaxOtherAnswers || OtherBytes > MaxOtherBytes)
-        return fail("too many answers to other requests");
+        return fail("too many answers to other requests",
+                    ExchangeFailure::NotSent, ExchangeFailure::Unusable);
       Bytes.remove_prefix(Taken);
       if (!std::exchange(AnswerComplete, false))
         continue;
@@ -301,9 +303,10 @@
   }
 
   // Ends the request without an answer. Unsent is the kind of failure to report
-  // if no byte of the request was sent.
+  // if no byte of the request was sent, Sent the one otherwise.
   void fail(const std::string &Cause,
-            ExchangeFailure Unsent = ExchangeFailure::NotSent) {
+            ExchangeFailure Unsent = ExchangeFailure::NotSent,
+            ExchangeFailure Sent = ExchangeFailure::Broken) {
     if (!Busy)
       return;
     std::shared_ptr<PooledConnection> Self = shared_from_this();
@@ -313,7 +316,7 @@
       ++Pool->Counters.ConnectFailures;
     close();
     if (Finished.OnFailure)
-      Finished.OnFailure(SentAny ? ExchangeFailure::Broken : Unsent, Cause);
+      Finished.OnFailure(SentAny ? Sent : Unsent, Cause);
   }
 
   ExchangePool *Pool;
@@ -442,7 +445,7 @@
     ResultCode Code = ResultCode::ConnectFailed;
     if (Kind == ExchangeFailure::ConnectTimedOut)
       Code = ResultCode::Timeout;
-    if (Kind == ExchangeFailure::Broken)
+    if (Kind == ExchangeFailure::Broken || Kind == ExchangeFailure::Unusable)
       Code = ResultCode::UpstreamLost;
     Finish(Error{Code, Cause});
   };
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -599,6 +599,36 @@
   EXPECT_FALSE(blamedPart(Suspects, std::vector<PromptPart>{7}));
 }
 
+class RequestFlowUnusableTest
+    : public RequestFlowTest,
+      public testing::WithParamInterface<const char *> {};
+
+// Guards against sound requests that are refused as crashing engines after
+// unusable answers, for which this side closed the connection (BUDGET, LOST).
+TEST_P(RequestFlowUnusableTest, CountsNoBreakOff) {
+  for (int Added = 0; Added < 2; ++Added)
+    addEngine(PoolService, [](ScriptedConnection &To, int) {
+      std::string Bytes = GetParam();
+      if (Bytes.ends_with("data: "))
+        Bytes += std::string(300'000, 'x');
+      To.send(Bytes);
+    });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("HTTP/1.1") || Closed);
+  ASSERT_TRUE(runUntil(Context, [this] { return Flows.activeCount() == 0; }));
+  EXPECT_TRUE(Crashes.BreakOffs.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, RequestFlowUnusableTest,
+    testing::Values("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\n"
+                    "data: ",
+                    "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\n"
+                    "no event\n\n",
+                    "no answer\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 8\r\n\r\n"
+                    "unsealed"));
+
 // The request waits at the engine while others crash on the same part.
 TEST_F(RequestFlowTest, EndsRequestThatEngineHasNotBegunWhenPartIsBlamed) {
   ScriptedServer &Engine =
