Bound the bytes that a process holds for requests by one budget

The process ended with all its requests, sound ones too.

Cause: each collected body, request body and output had a limit, their sum had none. And the bytes of a failure counted as progress, so nothing ended it before its deadline.

Collected answers, partial events, bodies of requests, pending output and the store's answers draw on one ByteBudget now. The counter held_bytes_ended and a log line say what ended. The limit is a setting, [memory] limit_mb and held_share; by default it is 0.6 of the machine's memory.

The body of a failure and a stream's comments are no progress any more: a request that may be repeated moves elsewhere after the usual silence.

--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -20,11 +20,18 @@
 //   [times]
 //   grace = "8s"                  # from SIGTERM to the end of the process
 //   drain = "2s"                  # until a leaving instance gets nothing new
+//   [memory]
+//   limit_mb = 260                # of the machine, for this process; 0: all of
+//                                 # its physical memory
+//   held_share = 0.6              # of the limit, for bytes held for requests
 #ifndef SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 #define SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 
 #include "samphirehill/Config/Settings.h"
 
+#include <cstddef>
+#include <limits>
+
 namespace samphirehill {
 
 struct ServingSettings {
@@ -42,6 +49,8 @@
   Duration RetryWindow = seconds(10);
   Duration Grace = seconds(8);
   Duration Drain = seconds(2);
+  // Bytes of bodies, answers and output that the process holds at most.
+  std::size_t HeldBytes = std::numeric_limits<std::size_t>::max();
 
   bool operator==(const ServingSettings &) const = default;
 };
--- a/include/samphirehill/Serving/CallerServer.h
+++ b/include/samphirehill/Serving/CallerServer.h
@@ -6,6 +6,7 @@
 
 #include "samphirehill/Config/Settings.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/ByteBudget.h"
 #include "samphirehill/Net/TimerService.h"
 #include "samphirehill/Serving/HttpMessage.h"
 
@@ -77,8 +78,9 @@
 public:
   using Handler = std::function<void(std::shared_ptr<CallerRequest>)>;
 
+  // What the server holds for requests counts in Bytes.
   CallerServer(asio::io_context &Context, TimerService &Timers,
-               Handler OnRequest);
+               std::shared_ptr<ByteBudget> Bytes, Handler OnRequest);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
   CallerServer &operator=(const CallerServer &) = delete;
@@ -106,6 +108,7 @@
 
   asio::io_context &Context;
   TimerService &Timers;
+  std::shared_ptr<ByteBudget> Bytes;
   Handler OnRequest;
   asio::ip::tcp::acceptor Acceptor;
   std::unordered_set<std::shared_ptr<CallerConnection>> Connections;
--- a/include/samphirehill/Serving/EventSplitter.h
+++ b/include/samphirehill/Serving/EventSplitter.h
@@ -15,6 +15,7 @@
   // The id of the last event returned. Events with this id or a lower one are
   // dropped.
   std::optional<std::int64_t> LastId;
+  std::uint64_t Events = 0; // returned so far, without those of comments only
   // The stream contained something that is not an event; everything from there
   // on is ignored.
   bool Malformed = false;
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -6,12 +6,14 @@
 #include "samphirehill/Config/Settings.h"
 #include "samphirehill/Core/Result.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/ByteBudget.h"
 #include "samphirehill/Net/TimerService.h"
 #include "samphirehill/Serving/HttpMessage.h"
 
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -50,6 +52,9 @@
   // whether to close them.
   bool CloseExpired = false;
   bool AnswerHasNoBody = false; // the request's method is HEAD
+  // Bounds the body of an answer that ExchangePool::call collects. Values of
+  // the platform, the largest of them, have at most 1 MB.
+  std::size_t MaxBodyBytes = 16'777'216;
   // Whether the connection may return to the pool after the answer.
   bool Keep = true;
   // Called just before the request is written, which may be long after start if
@@ -139,6 +144,10 @@
 
   const ExchangeCounters &counters() const { return Counters; }
 
+  // The bytes that the whole process holds for requests. Without a limit at
+  // first.
+  const std::shared_ptr<ByteBudget> &bytes() const { return Bytes; }
+
 private:
   friend class PooledConnection;
   // Removes the most recently used connection to Address from the pool, or
@@ -152,6 +161,8 @@
   std::map<SocketAddress, std::vector<std::shared_ptr<PooledConnection>>> Idle;
   std::map<PooledConnection *, std::weak_ptr<PooledConnection>> All;
   ExchangeCounters Counters;
+  std::shared_ptr<ByteBudget> Bytes =
+      std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max());
 };
 
 } // namespace samphirehill::serving
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -3,6 +3,8 @@
 #include "AddressReader.h"
 #include "TomlReader.h"
 
+#include <unistd.h>
+
 namespace samphirehill {
 namespace {
 
@@ -34,6 +36,24 @@
   Times.refuseUnknownKeys();
 }
 
+std::size_t physicalMegabytes() {
+  auto Pages = static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES));
+  auto PageBytes = static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  return Pages * PageBytes / 1'000'000;
+}
+
+void readMemory(TableReader Memory, ServingSettings &Into) {
+  constexpr double HighestLimit = 1e9;
+  constexpr double BytesPerMegabyte = 1e6;
+  constexpr double DefaultShare = 0.6;
+  double Limit = Memory.number("limit_mb", 0, HighestLimit, 0);
+  if (Limit == 0)
+    Limit = static_cast<double>(physicalMegabytes());
+  double Share = Memory.number("held_share", 0.05, 1, DefaultShare);
+  Into.HeldBytes = static_cast<std::size_t>(Limit * BytesPerMegabyte * Share);
+  Memory.refuseUnknownKeys();
+}
+
 } // namespace
 
 Result<ServingSettings> parseServingSettings(std::string_view Toml,
@@ -54,6 +74,7 @@
     Platform.refuseUnknownKeys();
     readRetries(Root.table("retries"), Value);
     readTimes(Root.table("times"), Value);
+    readMemory(Root.table("memory"), Value);
     Root.refuseUnknownKeys();
   }
   if (!Found.empty())
--- a/lib/Serving/CallerServer.cpp
+++ b/lib/Serving/CallerServer.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -37,7 +38,10 @@
                                },
                                [this](std::string_view Part) { addBody(Part); },
                                [this] { requestComplete(); }}),
-        LastActive(Server.Timers.now()) {}
+        LastActive(Server.Timers.now()),
+        HeldInput(Server.Bytes, endLater(&CallerConnection::refuseBody)),
+        HeldRequest(Server.Bytes, {}),
+        HeldOutput(Server.Bytes, endLater(&CallerConnection::dropOutput)) {}
 
   void start() {
     prepareSocket(Socket);
@@ -53,6 +57,7 @@
       return;
     }
     Output += Bytes;
+    HeldOutput.set(ByteUse::Output, Output.size() + BeingWritten.size());
     if (EndsResponse)
       responseComplete();
     write();
@@ -66,6 +71,9 @@
     spdlog::debug("event=caller_closed reason=\"{}\"", Reason);
     std::error_code Ignored; // the connection ends either way
     Socket.close(Ignored);
+    HeldInput.clear();
+    HeldRequest.clear();
+    HeldOutput.clear();
     std::shared_ptr<CallerRequest> Interrupted = std::move(CurrentRequest);
     std::shared_ptr<CallerConnection> Self = shared_from_this();
     if (Server)
@@ -105,6 +113,29 @@
   }
 
 private:
+  // Returns a function that has End called soon, as it may itself be called
+  // while the connection handles an event.
+  std::function<void()> endLater(void (CallerConnection::*End)()) {
+    return [this, End] {
+      asio::post(Socket.get_executor(), [Weak = weak_from_this(), End] {
+        if (std::shared_ptr<CallerConnection> Self = Weak.lock())
+          (Self.get()->*End)();
+      });
+    };
+  }
+
+  // Refuses the request that is being received, as the process holds too many
+  // bytes. Nothing of it has been passed on.
+  void refuseBody() {
+    if (HeldInput.isEnding() && Server && Socket.is_open() && !CurrentRequest)
+      refuse(503);
+  }
+
+  void dropOutput() {
+    if (HeldOutput.isEnding())
+      close("process holds too many bytes");
+  }
+
   bool hasUnsentOutput() const {
     return !Output.empty() || !BeingWritten.empty();
   }
@@ -165,6 +196,7 @@
       TooLarge = true;
     if (!TooLarge)
       Body += Part;
+    HeldInput.set(ByteUse::Request, Body.size());
   }
 
   void requestComplete() {
@@ -173,6 +205,8 @@
     ++Server->Counters.Requests;
     HttpRequest Request{Reader.method(), Reader.target(),
                         std::move(Reader.headers()), std::move(Body)};
+    HeldRequest.set(ByteUse::Request, Request.Body.size());
+    HeldInput.clear();
     Body.clear();
     CurrentRequest = std::make_shared<CallerRequest>(
         weak_from_this(), std::move(Request), StartedAt);
@@ -187,6 +221,7 @@
 
   void responseComplete() {
     CurrentRequest.reset();
+    HeldRequest.clear();
     LastActive = Server ? Server->Timers.now() : LastActive;
     if (closesAfterAnswer())
       ClosesAfterWrite = true;
@@ -204,6 +239,7 @@
         Socket, asio::buffer(BeingWritten),
         [Self = shared_from_this()](std::error_code Failed, std::size_t) {
           Self->BeingWritten.clear();
+          Self->HeldOutput.set(ByteUse::Output, Self->Output.size());
           if (Failed)
             return Self->close(Failed.message());
           if (Self->Server)
@@ -242,6 +278,9 @@
   bool TooLarge = false;
   bool ClosesAfterWrite = false; // the last answer is being written
   bool CallerEnded = false;      // the caller has closed its side
+  HeldBytes HeldInput;           // of a request that is being received
+  HeldBytes HeldRequest;         // of the request in progress
+  HeldBytes HeldOutput;
 };
 
 void CallerRequest::reply(const HttpResponse &Response) {
@@ -275,9 +314,10 @@
 }
 
 CallerServer::CallerServer(asio::io_context &Context, TimerService &Timers,
-                           Handler OnRequest)
-    : Context(Context), Timers(Timers), OnRequest(std::move(OnRequest)),
-      Acceptor(Context), LongestIdle(Limits.IdleTimeout) {}
+                           std::shared_ptr<ByteBudget> Bytes, Handler OnRequest)
+    : Context(Context), Timers(Timers), Bytes(std::move(Bytes)),
+      OnRequest(std::move(OnRequest)), Acceptor(Context),
+      LongestIdle(Limits.IdleTimeout) {}
 
 CallerServer::~CallerServer() {
   for (const std::shared_ptr<CallerConnection> &Connection : Connections)
--- a/lib/Serving/EventSplitter.cpp
+++ b/lib/Serving/EventSplitter.cpp
@@ -116,7 +116,8 @@
   std::string Complete;
   while (std::size_t Size = findEnd(Unparsed).Size) {
     std::string_view Event = Unparsed.substr(0, Size);
-    if (!isEvent(contentOf(Event), Splitter.LastId.has_value())) {
+    EventContent Content = contentOf(Event);
+    if (!isEvent(Content, Splitter.LastId.has_value())) {
       Splitter.Malformed = true;
       break;
     }
@@ -126,6 +127,7 @@
       continue;
     if (Number)
       Splitter.LastId = Number;
+    Splitter.Events += Content.AnyField;
     Complete += Event;
   }
   Splitter.Partial.erase(0, Splitter.Partial.size() - Unparsed.size());
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -69,7 +69,8 @@
 public:
   RequestFlow(RequestFlows &Owner, std::shared_ptr<CallerRequest> Caller,
               std::uint64_t Number)
-      : Owner(Owner), Caller(std::move(Caller)), Number(Number) {}
+      : Owner(Owner), Caller(std::move(Caller)), Number(Number),
+        Held(Owner.Shared.Pool.bytes(), [this] { endHeldLater(); }) {}
 
   // Checks the request against the configuration and refuses it if it has no
   // route, no valid key or no service, or has crashed too many upstreams.
@@ -364,6 +365,7 @@
     ++Attempts;
     HeadSeen = false;
     Collected = {};
+    Held.clear();
     AwaitsFirst = true;
     AttemptEvents = 0;
     AttemptBegunAt.reset();
@@ -526,10 +528,36 @@
   void handleBody(std::string_view Part) {
     if (State == FlowState::Streaming)
       return handleStreamPart(Part);
-    noteUpstreamProgress();
+    bool Usable = isUsableSoFar();
+    // The body of a failure is of no use to the caller until it is complete, so
+    // it doesn't keep an upstream that sends it without end.
+    if (Usable)
+      noteUpstreamProgress();
     if (Collected.Body.size() + Part.size() > MaxCollectedBytes)
       return abandonAttempt("answer body exceeds the size limit");
     Collected.Body += Part;
+    Held.set(Usable ? ByteUse::Answer : ByteUse::Failure,
+             Collected.Body.size());
+  }
+
+  // Returns whether the answer that is being collected may be a success.
+  bool isUsableSoFar() const {
+    return Collected.Status >= 200 && Collected.Status < 300 &&
+           CollectedFacts.Sealed;
+  }
+
+  // Has the attempt ended soon, since the process holds too many bytes. This
+  // may be called while the flow handles an event.
+  void endHeldLater() {
+    EndHeld =
+        shared().Timers.after(Duration::zero(), [Weak = weak_from_this()] {
+          std::shared_ptr<RequestFlow> Self = Weak.lock();
+          if (!Self)
+            return;
+          Self->EndHeld.cancel();
+          if (Self->Held.isEnding() && Self->CurrentUpstream)
+            Self->abandonAttempt("process holds too many bytes");
+        });
   }
 
   // Ends an attempt whose answer is unusable. A faulty upstream may send bytes
@@ -541,18 +569,20 @@
   }
 
   // Forwards the events that Part completes. Bytes that complete no event do
-  // not count as progress.
+  // not count as progress, nor do comments.
   void handleStreamPart(std::string_view Part) {
+    std::uint64_t EventsBefore = Splitter.Events;
     std::string Complete = takeEvents(Splitter, Part);
     if (isEventTooLong(Splitter))
       return abandonAttempt("event exceeds the size limit");
-    if (!Complete.empty()) {
+    Held.set(ByteUse::Failure, Splitter.Partial.size());
+    if (Splitter.Events > EventsBefore) {
       ForwardedEvents = true;
       noteUpstreamProgress();
       noteEvents();
-      if (!CallerDisconnected)
-        Caller->streamPart(Complete);
     }
+    if (!CallerDisconnected)
+      Caller->streamPart(Complete);
     if (Splitter.Malformed)
       abandonAttempt("stream contains bytes that are not an event");
   }
@@ -876,6 +906,7 @@
 
   void endRequest() {
     stopAttempt(false);
+    Held.clear();
     State = FlowState::Done;
     Owner.remove(shared_from_this());
   }
@@ -923,6 +954,8 @@
   HttpResponse Collected;
   AnswerFacts CollectedFacts;
   EventSplitter Splitter;
+  HeldBytes Held; // of Collected and Splitter
+  TimerSubscription EndHeld;
 };
 
 RequestFlows::RequestFlows(FlowShared Shared, FlowSettings Settings)
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -143,15 +143,15 @@
                 },
                 [this] { Peers.sendSoon(); }},
             flowSettings(Settings)),
-      Callers(Context, Timers,
+      Callers(Context, Timers, Pool.bytes(),
               [this](std::shared_ptr<CallerRequest> Request) {
                 Flows.accept(std::move(Request));
               }),
-      Readiness(Context, Timers,
+      Readiness(Context, Timers, Pool.bytes(),
                 [this](const std::shared_ptr<CallerRequest> &Request) {
                   answerReadiness(Request);
                 }),
-      MetricsServer(Context, Timers,
+      MetricsServer(Context, Timers, Pool.bytes(),
                     [this](const std::shared_ptr<CallerRequest> &Request) {
                       answerMetrics(Request);
                     }),
@@ -169,6 +169,12 @@
   Retries.Bounds = retryBounds(Settings, AssumedEntries);
   Book.Limits.Entries = AssumedEntries;
   Book.Limits.Self = Settings.Entry;
+  Pool.bytes()->setLimit(Settings.HeldBytes);
+  Pool.bytes()->OnEnd = [&Metrics](ByteUse Use, std::size_t Bytes) {
+    Metrics.count("held_bytes_ended", "use", toString(Use));
+    spdlog::warn("event=held_bytes_ended use={} bytes={}", toString(Use),
+                 Bytes);
+  };
   if (this->Platform.Calls.OnAnswer)
     *this->Platform.Calls.OnAnswer = [this](const InstanceLife &From,
                                             const AnswerFacts &Answer) {
@@ -666,6 +672,7 @@
   for (const InstanceId &Id : Expired)
     removeInstance(Id);
   Metrics.set("requests_active", static_cast<double>(Flows.activeCount()));
+  Metrics.set("held_bytes", static_cast<double>(Pool.bytes()->heldBytes()));
   Metrics.set("caller_connections",
               static_cast<double>(Callers.connectionCount()));
 }
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -15,9 +15,6 @@
 
 constexpr std::size_t ReadBytes = 8'192;
 constexpr std::size_t MaxResponseHeadBytes = 65'536;
-// Bounds the body of an answer that ExchangePool::call collects. Values of the
-// platform, the largest of them, have at most 1 MB.
-constexpr std::size_t MaxCollectedBytes = 16'777'216;
 constexpr std::size_t MaxIdlePerAddress = 32;
 // Number of answers to other requests (and of interim responses), and bytes of
 // their bodies, that are skipped for one request before the peer is considered
@@ -408,53 +405,73 @@
   return std::make_shared<Exchange>(Used);
 }
 
+namespace {
+
+// A request whose complete answer is collected.
+struct CollectedCall {
+  HttpResponse Answer;
+  TimerSubscription Timer;
+  std::shared_ptr<Exchange> Running;
+  std::function<void(Outcome<HttpResponse>)> Done;
+  std::unique_ptr<HeldBytes> Held; // of Answer
+};
+
+void finish(CollectedCall &Call, Outcome<HttpResponse> Result) {
+  Call.Timer.cancel();
+  Call.Running.reset();
+  Call.Held->clear();
+  if (Call.Done)
+    std::exchange(Call.Done, nullptr)(std::move(Result));
+}
+
+void refuseAnswer(CollectedCall &Call, const std::string &Cause) {
+  if (Call.Running)
+    Call.Running->cancel();
+  finish(Call, Error{ResultCode::BadAnswer, Cause});
+}
+
+} // namespace
+
 std::shared_ptr<Exchange> ExchangePool::call(
     const SocketAddress &Address, const HttpRequest &Request, Duration Limit,
     std::function<void(Outcome<HttpResponse>)> Done, ExchangeOptions Options) {
-  struct Call {
-    HttpResponse Answer;
-    TimerSubscription Timer;
-    std::shared_ptr<Exchange> Running;
-    std::function<void(Outcome<HttpResponse>)> Done;
-  };
-  auto State = std::make_shared<Call>();
+  auto State = std::make_shared<CollectedCall>();
   State->Done = std::move(Done);
-  auto Finish = [State](Outcome<HttpResponse> Result) {
-    State->Timer.cancel();
-    State->Running.reset();
-    if (State->Done)
-      std::exchange(State->Done, nullptr)(std::move(Result));
-  };
+  State->Held = std::make_unique<HeldBytes>(
+      Bytes, [&Context = Context, Weak = std::weak_ptr<CollectedCall>(State)] {
+        asio::post(Context, [Weak] {
+          std::shared_ptr<CollectedCall> Ending = Weak.lock();
+          if (Ending && Ending->Held->isEnding())
+            refuseAnswer(*Ending, "process holds too many bytes");
+        });
+      });
   ExchangeHandlers Handlers;
   Handlers.OnHead = [State](const HttpResponse &Head) {
     State->Answer = Head;
     return true;
   };
-  Handlers.OnBody = [State, Finish](std::string_view Part) {
-    if (State->Answer.Body.size() + Part.size() > MaxCollectedBytes) {
-      if (State->Running)
-        State->Running->cancel();
-      Finish(Error{ResultCode::BadAnswer, "answer is too large"});
-      return;
-    }
+  Handlers.OnBody = [State,
+                     Most = Options.MaxBodyBytes](std::string_view Part) {
+    if (State->Answer.Body.size() + Part.size() > Most)
+      return refuseAnswer(*State, "answer is too large");
     State->Answer.Body += Part;
+    State->Held->set(ByteUse::Answer, State->Answer.Body.size());
   };
-  Handlers.OnEnd = [State, Finish] { Finish(std::move(State->Answer)); };
-  Handlers.OnFailure = [Finish](ExchangeFailure Kind,
-                                const std::string &Cause) {
+  Handlers.OnEnd = [State] { finish(*State, std::move(State->Answer)); };
+  Handlers.OnFailure = [State](ExchangeFailure Kind, const std::string &Cause) {
     ResultCode Code = ResultCode::ConnectFailed;
     if (Kind == ExchangeFailure::ConnectTimedOut)
       Code = ResultCode::Timeout;
     if (Kind == ExchangeFailure::Broken || Kind == ExchangeFailure::Unusable)
       Code = ResultCode::UpstreamLost;
-    Finish(Error{Code, Cause});
+    finish(*State, Error{Code, Cause});
   };
   Options.ConnectTimeout = std::min(Limit, Options.ConnectTimeout);
   State->Running = start(Address, serialize(Request), Options, Handlers);
-  State->Timer = Timers.after(Limit, [State, Finish] {
+  State->Timer = Timers.after(Limit, [State] {
     if (State->Running)
       State->Running->cancelAfterTimeout();
-    Finish(Error{ResultCode::Timeout, "no answer in time"});
+    finish(*State, Error{ResultCode::Timeout, "no answer in time"});
   });
   return State->Running;
 }
--- a/test/Serving/CallerServerTest.cpp
+++ b/test/Serving/CallerServerTest.cpp
@@ -18,7 +18,7 @@
 protected:
   CallerServerTest()
       : Timers(Context), Address{"127.0.0.1", freePort()},
-        Server(Context, Timers,
+        Server(Context, Timers, Bytes,
                [this](std::shared_ptr<CallerRequest> Request) {
                  Answer(*Request);
                  Answered = true;
@@ -70,6 +70,8 @@
     Request.reply(HttpResponse{200, {}, std::string(AnswerBytes, 'x') + "end"});
   };
   bool Answered = false;
+  std::shared_ptr<ByteBudget> Bytes =
+      std::make_shared<ByteBudget>(2 * AnswerBytes);
   CallerServer Server;
   asio::ip::tcp::socket Caller;
 };
--- a/test/Serving/Loopback.h
+++ b/test/Serving/Loopback.h
@@ -54,6 +54,13 @@
     std::error_code Failed;
     asio::write(Socket, asio::buffer(Bytes), Failed);
   }
+  // Sends as much of Bytes as the socket takes at once.
+  void sendSome(const std::string &Bytes) {
+    std::error_code Failed; // would block, or the peer has closed
+    Socket.non_blocking(true);
+    Socket.write_some(asio::buffer(Bytes), Failed);
+    Socket.non_blocking(false);
+  }
   void close() {
     std::error_code Failed;
     Socket.close(Failed);
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -29,7 +29,7 @@
                },
                {}},
               flowSettings()),
-        Callers(Context, Timers,
+        Callers(Context, Timers, Pool.bytes(),
                 [this](std::shared_ptr<CallerRequest> Request) {
                   Flows.accept(std::move(Request));
                 }),
@@ -629,6 +629,79 @@
                     "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 8\r\n\r\n"
                     "unsealed"));
 
+// What an engine in trouble sends, a head and then a piece again and again
+// until the connection is closed.
+struct EndlessBytes {
+  const char *Name;
+  std::string Head;
+  std::string Piece;
+};
+
+void PrintTo(const EndlessBytes &Bytes, std::ostream *To) { *To << Bytes.Name; }
+
+const std::string Junk(16'384, '?');
+
+const EndlessBytes AllEndlessBytes[] = {
+    {"head", "HTTP/1.1 200 OK\r\n", "x: y\r\n" + Junk + ": y\r\n"},
+    {"header line", "HTTP/1.1 200 OK\r\nx: ", Junk},
+    {"chunk size line",
+     "HTTP/1.1 500 X\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n1;",
+     Junk},
+    {"failure in chunks",
+     "HTTP/1.1 500 X\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n",
+     serializeChunk(Junk)},
+    {"failure without length", "HTTP/1.1 500 X\r\nid: r1\r\nseal: s\r\n\r\n",
+     Junk},
+    {"success without seal", "HTTP/1.1 200 OK\r\nid: r1\r\n\r\n", Junk},
+    {"event", "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\ndata: ", Junk},
+    {"comments", "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\n",
+     ":" + Junk + "\n\n"},
+    {"answer to another request",
+     "HTTP/1.1 200 OK\r\nid: r2\r\nseal: s\r\n\r\n", Junk},
+};
+
+class RequestFlowEndlessTest
+    : public RequestFlowTest,
+      public testing::WithParamInterface<EndlessBytes> {
+protected:
+  // Sends on all connections to engines in trouble.
+  void sendPieces() {
+    for (ScriptedConnection *Each : Endless) {
+      if (!Each->PeerClosed)
+        Each->sendSome(GetParam().Piece);
+    }
+  }
+
+  std::vector<ScriptedConnection *> Endless;
+  TimerSubscription PieceTimer;
+};
+
+// Guards against processes that run out of memory because engines send bytes
+// that are no answer until the connection is closed (Fault). A request of its
+// own at the sound engine goes on.
+TEST_P(RequestFlowEndlessTest, EndsAttemptAndServesTheRequestElsewhere) {
+  addEngine(PoolService, [this](ScriptedConnection &To, int) {
+    To.send(GetParam().Head);
+    Endless.push_back(&To);
+  });
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+  });
+  Pool.bytes()->setLimit(1'000'000);
+  PieceTimer = Timers.every(milliseconds(2), [this] { sendPieces(); });
+  send("/stream/");
+  EXPECT_TRUE(awaitAnswer("data: x"));
+  ASSERT_EQ(Endless.size(), 1U);
+  EXPECT_TRUE(
+      runUntil(Context, [this] { return Endless.front()->PeerClosed; }));
+  EXPECT_LT(Pool.bytes()->heldBytes(), 100'000U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, RequestFlowEndlessTest,
+                         testing::ValuesIn(AllEndlessBytes));
+
 // The request waits at the engine while others crash on the same part.
 TEST_F(RequestFlowTest, EndsRequestThatEngineHasNotBegunWhenPartIsBlamed) {
   ScriptedServer &Engine =
