--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -21,8 +21,8 @@
 //   grace = "8s"                  # from SIGTERM to the end of the process
 //   drain = "2s"                  # until a leaving instance gets nothing new
 //   [memory]
-//   limit_mb = 260                # of the machine, for this process; 0: all of
-//                                 # its physical memory
+//   limit_mb = 260                # of this process on its machine; by default
+//                                 # the variable MEMORY_LIMIT_MB, or 160
 //   held_share = 0.6              # of the limit, for bytes held for requests
 #ifndef SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 #define SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
@@ -30,7 +30,6 @@
 #include "samphirehill/Config/Settings.h"
 
 #include <cstddef>
-#include <limits>
 
 namespace samphirehill {
 
@@ -49,15 +48,21 @@
   Duration RetryWindow = seconds(10);
   Duration Grace = seconds(8);
   Duration Drain = seconds(2);
-  // Bytes of bodies, answers and output that the process holds at most.
-  std::size_t HeldBytes = std::numeric_limits<std::size_t>::max();
+  double MemoryLimitMb = 160; // a megabyte has 1,000,000 bytes
+  double HeldShare = 0.6;     // of MemoryLimitMb
 
   bool operator==(const ServingSettings &) const = default;
 };
 
-// Parses settings, like parseSettings.
-Result<ServingSettings> parseServingSettings(std::string_view Toml,
-                                             std::string_view File);
+// Returns how many bytes of bodies, answers and output the process holds at
+// most.
+std::size_t heldBytesLimit(const ServingSettings &Settings);
+
+// Parses settings, like parseSettings. MemoryLimitMb is the text of the
+// variable MEMORY_LIMIT_MB; empty if it isn't set.
+Result<ServingSettings>
+parseServingSettings(std::string_view Toml, std::string_view File,
+                     std::string_view MemoryLimitMb = {});
 
 } // namespace samphirehill
 
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -3,7 +3,8 @@
 #include "AddressReader.h"
 #include "TomlReader.h"
 
-#include <unistd.h>
+#include <charconv>
+#include <string>
 
 namespace samphirehill {
 namespace {
@@ -36,30 +37,48 @@
   Times.refuseUnknownKeys();
 }
 
-std::size_t physicalMegabytes() {
-  auto Pages = static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES));
-  auto PageBytes = static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-  return Pages * PageBytes / 1'000'000;
+constexpr double LowestMemoryMb = 16;
+constexpr double HighestMemoryMb = 1e7;
+
+// Reads the variable's text; an empty one leaves the default.
+Result<void> readMemoryVariable(std::string_view Text, ServingSettings &Into) {
+  if (Text.empty())
+    return {};
+  double Megabytes = 0;
+  auto [End, Failed] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Megabytes);
+  bool Valid = Failed == std::errc() && End == Text.data() + Text.size() &&
+               Megabytes >= LowestMemoryMb && Megabytes <= HighestMemoryMb;
+  if (!Valid)
+    return fail(ResultCode::InvalidSettings,
+                "MEMORY_LIMIT_MB is \"" + std::string(Text) +
+                    "\", not a number of megabytes");
+  Into.MemoryLimitMb = Megabytes;
+  return {};
 }
 
 void readMemory(TableReader Memory, ServingSettings &Into) {
-  constexpr double HighestLimit = 1e9;
-  constexpr double BytesPerMegabyte = 1e6;
-  constexpr double DefaultShare = 0.6;
-  double Limit = Memory.number("limit_mb", 0, HighestLimit, 0);
-  if (Limit == 0)
-    Limit = static_cast<double>(physicalMegabytes());
-  double Share = Memory.number("held_share", 0.05, 1, DefaultShare);
-  Into.HeldBytes = static_cast<std::size_t>(Limit * BytesPerMegabyte * Share);
+  constexpr double LowestShare = 0.05;
+  Into.MemoryLimitMb = Memory.number("limit_mb", LowestMemoryMb,
+                                     HighestMemoryMb, Into.MemoryLimitMb);
+  Into.HeldShare = Memory.number("held_share", LowestShare, 1, Into.HeldShare);
   Memory.refuseUnknownKeys();
 }
 
 } // namespace
 
+std::size_t heldBytesLimit(const ServingSettings &Settings) {
+  constexpr double BytesPerMegabyte = 1e6;
+  return static_cast<std::size_t>(Settings.MemoryLimitMb * BytesPerMegabyte *
+                                  Settings.HeldShare);
+}
+
 Result<ServingSettings> parseServingSettings(std::string_view Toml,
-                                             std::string_view File) {
+                                             std::string_view File,
+                                             std::string_view MemoryLimitMb) {
   Problems Found(File);
   ServingSettings Value;
+  BOOST_LEAF_CHECK(readMemoryVariable(MemoryLimitMb, Value));
   if (std::optional<toml::table> Parsed = parseToml(Toml, Found)) {
     TableReader Root(*Parsed, "", Found);
     Value.Entry = EntryId(Root.name("entry"));
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -169,7 +169,7 @@
   Retries.Bounds = retryBounds(Settings, AssumedEntries);
   Book.Limits.Entries = AssumedEntries;
   Book.Limits.Self = Settings.Entry;
-  Pool.bytes()->setLimit(Settings.HeldBytes);
+  Pool.bytes()->setLimit(heldBytesLimit(Settings));
   Pool.bytes()->OnEnd = [&Metrics](ByteUse Use, std::size_t Bytes) {
     Metrics.count("held_bytes_ended", "use", toString(Use));
     spdlog::warn("event=held_bytes_ended use={} bytes={}", toString(Use),
@@ -713,6 +713,9 @@
   Settings.RetryWindow = Changed.RetryWindow;
   Settings.Grace = Changed.Grace;
   Settings.Drain = Changed.Drain;
+  Settings.MemoryLimitMb = Changed.MemoryLimitMb;
+  Settings.HeldShare = Changed.HeldShare;
+  Pool.bytes()->setLimit(heldBytesLimit(Settings));
 }
 
 void ServingEntry::shutDown(std::function<void()> Done) {
--- a/test/Config/ServingSettingsTest.cpp
+++ b/test/Config/ServingSettingsTest.cpp
@@ -40,6 +40,20 @@
   EXPECT_EQ(Got.Drain, seconds(2));
 }
 
+TEST(ServingSettingsTest, BoundsHeldBytesByTheMemoryLimit) {
+  auto Limit = [](const std::string &Toml, const std::string &Variable) {
+    Outcome<ServingSettings> Read =
+        capture([&] { return parseServingSettings(Toml, "s.toml", Variable); });
+    return errorOf(Read) ? 0 : heldBytesLimit(std::get<0>(Read));
+  };
+  EXPECT_EQ(Limit(Valid, ""), 96'000'000U);
+  EXPECT_EQ(Limit(Valid, "260"), 156'000'000U);
+  std::string Set = Valid + "[memory]\nlimit_mb = 100\nheld_share = 0.5\n";
+  EXPECT_EQ(Limit(Set, "260"), 50'000'000U);
+  for (const char *Invalid : {"x", "260 MB", "-1", "nan", "1e300"})
+    EXPECT_EQ(Limit(Valid, Invalid), 0U) << Invalid;
+}
+
 TEST(ServingSettingsTest, NamesEveryProblem) {
   std::string Broken = Valid;
   Broken.replace(Broken.find("10.1.0.40:8227"), 14, "edge-1.example");
