Release the body of a request that is refused for the process's memory

The refused body stayed in memory until its caller closed the connection, so the budget was not relieved by ending it. Found when the change was read again; CallerServerTest.RefusesBodyWhenProcessHoldsTooManyBytes covers it, and ClosesConnectionWhoseOutputIsTooMuchForTheProcess the other end of a caller.

--- a/lib/Serving/CallerServer.cpp
+++ b/lib/Serving/CallerServer.cpp
@@ -127,8 +127,11 @@
   // Refuses the request that is being received, as the process holds too many
   // bytes. Nothing of it has been passed on.
   void refuseBody() {
-    if (HeldInput.isEnding() && Server && Socket.is_open() && !CurrentRequest)
-      refuse(503);
+    if (!HeldInput.isEnding() || !Server || !Socket.is_open() || CurrentRequest)
+      return;
+    std::string().swap(Body); // releases its memory
+    HeldInput.clear();
+    refuse(503);
   }
 
   void dropOutput() {
--- a/test/Serving/CallerServerTest.cpp
+++ b/test/Serving/CallerServerTest.cpp
@@ -110,5 +110,29 @@
       runUntil(Context, [this] { return Server.connectionCount() == 0; }));
 }
 
+// The body of a request that is still being received is given up for the memory
+// of the process; nothing of it has been passed on.
+TEST_F(CallerServerTest, RefusesBodyWhenProcessHoldsTooManyBytes) {
+  Bytes->setLimit(100'000);
+  asio::write(Caller, asio::buffer("POST / HTTP/1.1\r\nHost: h\r\n"
+                                   "Content-Length: 400000\r\n\r\n" +
+                                   std::string(200'000, 'x')));
+  EXPECT_TRUE(readAnswer("\r\n\r\n").starts_with("HTTP/1.1 503"));
+  EXPECT_FALSE(Answered);
+  EXPECT_EQ(Bytes->heldBytes(), 0U);
+}
+
+// A caller that doesn't read is given up before answers that others wait for.
+TEST_F(CallerServerTest, ClosesConnectionWhoseOutputIsTooMuchForTheProcess) {
+  request();
+  EXPECT_GT(Bytes->heldBytes(), 0U);
+  HeldBytes Other(Bytes, [] {});
+  Other.set(ByteUse::Answer, 2 * AnswerBytes);
+  EXPECT_TRUE(
+      runUntil(Context, [this] { return Server.connectionCount() == 0; }));
+  EXPECT_FALSE(Other.isEnding());
+  EXPECT_EQ(Bytes->heldBytes(), 2 * AnswerBytes);
+}
+
 } // namespace
 } // namespace samphirehill::serving
