Bound the answers that the own door's client collects

The operators' report on bytes without end holds for the own door too: the client collected whole answers without any bound, until the call's timeout. One answer is bounded by 16 MB now, and the sum of a client's answers by a budget of 96 MB, which failures leave first. libcurl ends a transfer that is to end with its next bytes; the call fails with BadAnswer.

Lines of engines' streams and bodies of refusals were bounded before.

The daemon of the platform's machines has none of this code.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Net/HttpClient.h"
 
+#include "samphirehill/Limits/ByteBudget.h"
+
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -16,6 +18,9 @@
 
 constexpr int PollMilliseconds = 1000;
 constexpr long MaxIdleConnections = 256;
+// Bounds one answer that is collected, and the sum of those of a client.
+constexpr std::size_t MaxAnswerBytes = 16'777'216;
+constexpr std::size_t MaxCollectedBytes = 96'000'000;
 
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
   return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
@@ -106,6 +111,7 @@
     HttpResponse Response;
     bool Whole = true;
     bool HeadersPosted = false;
+    std::unique_ptr<HeldBytes> Held; // of Response.Body
     Driver *Owner = nullptr;
     CURL *Easy = nullptr;
     curl_slist *HeaderList = nullptr;
@@ -143,6 +149,8 @@
   void start(std::unique_ptr<Transfer> Added) {
     CURL *Easy = curl_easy_init();
     Added->Easy = Easy;
+    // A transfer that is to end is ended with its next bytes.
+    Added->Held = std::make_unique<HeldBytes>(Bytes, [] {});
     const HttpRequest &Request = Added->Request;
     for (const auto &[Name, Value] : Request.Headers)
       Added->HeaderList =
@@ -221,13 +229,24 @@
                             void *User) {
     auto *Running = static_cast<Transfer *>(User);
     std::string Chunk(Data, Size * Count);
-    if (Running->Whole)
-      Running->Response.Body += Chunk;
-    else
+    if (!Running->Whole) {
       Running->Owner->postData(*Running, std::move(Chunk));
+      return Size * Count;
+    }
+    std::string &Body = Running->Response.Body;
+    Running->Held->set(isFailure(*Running) ? ByteUse::Failure : ByteUse::Answer,
+                       Body.size() + Chunk.size());
+    if (Body.size() + Chunk.size() > MaxAnswerBytes ||
+        Running->Held->isEnding())
+      return 0; // libcurl ends the transfer with an error
+    Body += Chunk;
     return Size * Count;
   }
 
+  static bool isFailure(const Transfer &Running) {
+    return Running.Response.Status < 200 || Running.Response.Status >= 300;
+  }
+
   void postHeaders(Transfer &Running) {
     if (Running.Whole || Running.HeadersPosted || Running.Response.Status < 200)
       return;
@@ -320,6 +339,9 @@
   std::shared_ptr<HandlerMap> Handlers = std::make_shared<HandlerMap>();
   std::vector<std::unique_ptr<Transfer>> Starting;
   std::vector<CallId> Cancelled;
+  // Used by the driver's thread only.
+  std::shared_ptr<ByteBudget> Bytes =
+      std::make_shared<ByteBudget>(MaxCollectedBytes);
   std::unordered_map<CallId, std::unique_ptr<Transfer>> Transfers;
   std::thread Worker;
 };
--- a/test/Limits/ByteBudgetTest.cpp
+++ b/test/Limits/ByteBudgetTest.cpp
@@ -69,6 +69,7 @@
   auto Budget = std::make_shared<ByteBudget>(20 * Unit);
   std::vector<std::unique_ptr<HeldBytes>> Holders;
   std::vector<std::size_t> Sizes(8, 0);
+  Holders.reserve(8);
   for (int Index = 0; Index < 8; ++Index)
     Holders.push_back(std::make_unique<HeldBytes>(Budget, [] {}));
   for (int Step = 0; Step < 50; ++Step) {
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -10,6 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <vector>
+
 namespace samphirehill {
 namespace {
 
@@ -216,5 +219,41 @@
   }
 }
 
+// Guards against a process that runs out of memory because peers send bodies
+// without end: each answer is bounded, and so is their sum.
+TEST_F(HttpTest, EndsAnswersWithoutEndWhileOthersAreServed) {
+  std::vector<std::shared_ptr<HttpExchange>> Endless;
+  serve([&](std::shared_ptr<HttpExchange> Exchange) {
+    if (Exchange->path() == "/sound")
+      return Exchange->respond(200, {}, "whole");
+    Exchange->start(500, {});
+    Endless.push_back(Exchange);
+  });
+  constexpr int Calls = 8;
+  int Failed = 0;
+  for (int Call = 0; Call < Calls; ++Call)
+    Client.send(request("/endless"), [&](const Outcome<HttpResponse> &Value) {
+      ASSERT_NE(errorOf(Value), nullptr);
+      EXPECT_EQ(errorOf(Value)->Code, ResultCode::BadAnswer);
+      ++Failed;
+    });
+  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  while (Failed < Calls && std::chrono::steady_clock::now() < Deadline) {
+    for (const std::shared_ptr<HttpExchange> &Each : Endless)
+      Each->write(std::string(262'144, '?'));
+    Context.run_one_for(std::chrono::milliseconds(1));
+    Context.poll();
+  }
+  EXPECT_EQ(Failed, Calls);
+  bool Done = false;
+  Client.send(request("/sound"), [&](Outcome<HttpResponse> Value) {
+    Done = true;
+    ASSERT_EQ(errorOf(Value), nullptr);
+    EXPECT_EQ(std::get<0>(Value).Body, "whole");
+  });
+  runUntil(Done);
+  EXPECT_TRUE(Done);
+}
+
 } // namespace
 } // namespace samphirehill
