--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -637,7 +637,9 @@
   std::string Piece;
 };
 
-void PrintTo(const EndlessBytes &Bytes, std::ostream *To) { *To << Bytes.Name; }
+std::ostream &operator<<(std::ostream &To, const EndlessBytes &Bytes) {
+  return To << Bytes.Name;
+}
 
 const std::string Junk(16'384, '?');
 
