Set the interfaces of the parts for hard load and give placement a module

docs/design/hard-load.md names the modules, the facts with one owner and the fields of datagrams that the parts use, so that they can be built beside each other. The choice of an upstream moves unchanged from UpstreamBook to Placement, as four parts add to one or the other; Routing and Groups are built for the platform's daemon too. The linter's cache names paths relative to the checkout, so that worktrees share it.

--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -179,20 +179,6 @@
 Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
                      double Pace);
 
-// Why no upstream was chosen.
-enum class PlacementFailure {
-  Absent, // no untried upstream serves the ServiceModel
-  Full,   // such upstreams exist, but none may take the request now
-  Quiet,  // all upstreams of the ServiceModel have asked for a pause
-};
-
-struct Placement {
-  std::optional<UpstreamKey> Chosen;
-  PlacementFailure Reason = PlacementFailure::Absent; // if nothing is chosen
-  int Candidates = 0;     // upstreams of the ServiceModel that aren't leaving
-  TimePoint QuietUntil{}; // Reason is Quiet: when the first pause ends
-};
-
 // All upstreams that this entry may use, with their state.
 struct UpstreamBook {
   PlacementLimits Limits;
@@ -205,6 +191,17 @@
   std::map<ServiceModel, double> PeerDemand;
 };
 
+// Returns whether the upstream bears only little load at Now. PerSecond is the
+// limit that operators set for cold upstreams; 0: no limit.
+bool isCold(const UpstreamState &State, double PerSecond, TimePoint Now);
+// Returns whether this entry may send a request to a cold upstream at Now
+// without exceeding its part of the limit PerSecond.
+bool mayTakeWhileCold(const UpstreamState &State, const PlacementLimits &Limits,
+                      double PerSecond, TimePoint Now);
+
+// Returns the load that all entries together put on the upstream.
+UpstreamLoad totalLoad(const UpstreamState &State);
+
 // Returns the life of the instance that takes Of's requests. See InstanceLife.
 InstanceLife lifeOf(const Upstream &Of);
 
@@ -236,14 +233,6 @@
 // all others are erased.
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable);
 
-// Chooses an upstream that may take a request now. Without peers that is the
-// one with the best score. With peers, which choose by the same delayed
-// reports, the choice is random, with probabilities by which all entries
-// together level the loads (Dahlin, "Interpreting stale load information",
-// 1999).
-Placement place(const UpstreamBook &Book, const PlacementQuery &Query,
-                TimePoint Now);
-
 // Records that a request was sent to Key.
 void noteSent(UpstreamBook &Book, const UpstreamKey &Key,
               const PlacementQuery &Query, TimePoint Now);
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -5,7 +5,7 @@
 #define SAMPHIREHILL_SERVING_WAITPOLICY_H
 
 #include "samphirehill/Core/Time.h"
-#include "samphirehill/Serving/UpstreamBook.h"
+#include "samphirehill/Serving/Placement.h"
 
 #include <cstdint>
 #include <optional>
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirehill/Core/Hash.h"
 #include "samphirehill/Serving/EventSplitter.h"
+#include "samphirehill/Serving/Placement.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/scripts/lint_cached.py
+++ b/scripts/lint_cached.py
@@ -2,7 +2,9 @@
 """Runs clang-tidy on the given sources unless they were clean before.
 
 What the linter reads is hashed: the source as preprocessed with comments, the
-checks and the linter's version. Hashes of clean sources are kept in build/lint.
+checks and the linter's version. Paths are hashed relative to the checkout, so
+that its worktrees can share results. Hashes of clean sources are kept in
+build/lint.
 """
 import hashlib
 import json
@@ -44,7 +46,8 @@
     )
     if read.returncode != 0:
         return None
-    digest = hashlib.sha256(read.stdout)
+    checkout = str(pathlib.Path.cwd()).encode()
+    digest = hashlib.sha256(read.stdout.replace(checkout, b"."))
     digest.update(pathlib.Path(".clang-tidy").read_bytes())
     digest.update(
         subprocess.run(["clang-tidy", "--version"], capture_output=True).stdout
--- a/test/Serving/PlacementReplay.h
+++ b/test/Serving/PlacementReplay.h
@@ -3,7 +3,7 @@
 #ifndef SAMPHIREHILL_TEST_SERVING_PLACEMENTREPLAY_H
 #define SAMPHIREHILL_TEST_SERVING_PLACEMENTREPLAY_H
 
-#include "samphirehill/Serving/UpstreamBook.h"
+#include "samphirehill/Serving/Placement.h"
 
 #include <cstdint>
 
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 
+#include "samphirehill/Serving/Placement.h"
+
 #include "Serving/TestFleet.h"
 
 #include <gtest/gtest.h>
