Divide the engines among the models by what callers ask for

Entries now tell the work asked for, in places by zone, service and model (EntryState.work); the holder of the group duty averages it, divides the engines so that the worst-served model is served best, and closes groups of a model that has them to spare if that pays back within 12 s. At the first start the members of all groups but the oldest of each model and zone load the other model's weights, so that engines move after a warm start; an engine of a broken group joins a group of its last model without weights. A free engine's last model counts only within the same life.

Placement and demand share expectedHolding; the choice of weights moved out of GroupPlan.

Ruled out: raising the stated share (a fixed 0.67 helps one deployment and harms the other's worst kind); the largest sum served as the aim (it would always take engines from the model with large groups).

--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -24,6 +24,9 @@
 //   limit_mb = 260                # of this process on its machine; by default
 //                                 # the variable MEMORY_LIMIT_MB, or 160
 //   held_share = 0.6              # of the limit, for bytes held for requests
+//   [groups]
+//   shares = "demand"             # of the engines, by model: follow the
+//                                 # demand, or "stated" in the configuration
 #ifndef SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 #define SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 
@@ -33,6 +36,10 @@
 
 namespace samphirehill {
 
+// Whether the models' shares of the engines follow the demand, or are those
+// that operators state.
+enum class ShareMode { Demand, Stated };
+
 struct ServingSettings {
   EntryId Entry;
   ZoneId Zone;
@@ -50,6 +57,7 @@
   Duration Drain = seconds(2);
   double MemoryLimitMb = 160; // a megabyte has 1,000,000 bytes
   double HeldShare = 0.6;     // of MemoryLimitMb
+  ShareMode Shares = ShareMode::Demand;
 
   bool operator==(const ServingSettings &) const = default;
 };
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -101,6 +101,9 @@
   // Records what a peer reports about the duty and which heads it asks about.
   void noteReport(const EntryReport &Report);
 
+  // Records the work that callers ask all entries for, see DemandPlan.
+  void noteWork(const WorkAsked &Elsewhere, const WorkAsked &Own);
+
   // Records that the peers have been listed.
   void setPeersKnown() { PeersKnown = true; }
 
@@ -162,6 +165,8 @@
   // Logs the summaries of the models that have changed, and sets their metrics.
   void publishModels(const std::map<std::string, ModelSummary> &Before,
                      const std::map<std::string, ModelSummary> &Models);
+  // Logs the groups that are given up, and sets the metrics of the demand.
+  void publishDemand(const ExchangeState &Exchanges);
   // Probes the members of stalled groups, and unlisted instances.
   void probeSuspects();
   void probeMembers(const std::set<UpstreamKey> &Stalled);
@@ -199,6 +204,7 @@
   std::shared_ptr<const Configuration> Config;
   DutyLease Lease;
   std::map<ServiceId, GroupPlanState> Plans;
+  KnownWork Work;
   std::map<InstanceId, Probe> Probes;
   std::map<InstanceId, Unlisted> Missing;
   std::map<InstanceId, Question> Asked;
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -11,6 +11,7 @@
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/Fleet.h"
+#include "samphirehill/Serving/GroupExchange.h"
 
 #include <cstdint>
 #include <map>
@@ -97,6 +98,7 @@
   // them than needed for this long. Most missing engines are back before a load
   // of other weights would be complete.
   Duration SurplusWait = seconds(2);
+  DemandPlanSettings Demand;
 };
 
 // A group whose members have been ordered to join, and which doesn't serve yet.
@@ -126,6 +128,14 @@
   TimePoint GiveUpAt{};
 };
 
+// The model of the last group that an engine was a complete member of. An
+// engine joins a group of that model without any weights on its host, as long
+// as its process lives.
+struct JoinedModel {
+  std::string Model;
+  std::int64_t BornMilliseconds = 0; // of the engine's life
+};
+
 // State of the planning for one service, kept from one run to the next.
 struct GroupPlanState {
   GroupPlanSettings Settings;
@@ -148,7 +158,7 @@
   // after a gap, by epoch.
   std::map<std::int64_t, TimePoint> LastKnownAt;
   std::map<std::int64_t, TimePoint> ReturnedAt;
-  std::map<InstanceId, std::string> LastModel; // model of the last group
+  std::map<InstanceId, JoinedModel> LastModel; // of the last group
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
   std::vector<TimePoint> LoadStarts; // within the last second
@@ -156,6 +166,7 @@
   // needed, by domain and model.
   std::map<std::pair<std::string, std::string>, TimePoint> SurplusSince;
   std::map<std::string, ModelSummary> Models; // by model, after the last run
+  ExchangeState Exchanges;
 };
 
 // Returns the orders to give now to the engines of Service. FirstStart means
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -16,6 +16,7 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 #include "samphirehill/Serving/UpstreamExchange.h"
 #include "samphirehill/Serving/WaitPolicy.h"
+#include "samphirehill/Serving/WorkCount.h"
 
 #include <cstdint>
 #include <functional>
@@ -109,7 +110,10 @@
 
   // Returns the rate of callers' requests at this entry, in requests per
   // second, by kind of place. Engine services only.
-  std::map<ServiceModel, double> requestRates() const;
+  std::map<ServiceModel, double> requestRates() const {
+    return ratesAt(ArrivalRates, Shared.Timers.now());
+  }
+  const WorkRates &workRates() const { return Work; }
 
 private:
   friend class RequestFlow;
@@ -134,6 +138,7 @@
   // Rate at which requests are sent; only for kinds that had a request sent.
   std::map<ServiceModel, EventRate> SendRates;
   std::map<ServiceModel, EventRate> ArrivalRates; // engine services only
+  WorkRates Work;
   std::map<ServiceModel, FirstEventTime> FirstEventTimes;
   std::map<std::string, LongestCallerTimeout> LongestTimeouts; // by route
   std::map<std::string, LongestAnswerTime> AnswerTimes;        // by route
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -65,6 +65,14 @@
   Memory.refuseUnknownKeys();
 }
 
+void readGroups(TableReader Groups, ServingSettings &Into) {
+  std::string Shares = Groups.has("shares") ? Groups.name("shares") : "demand";
+  if (Shares != "demand" && Shares != "stated")
+    Groups.refuse("shares", "\"demand\" or \"stated\"");
+  Into.Shares = Shares == "stated" ? ShareMode::Stated : ShareMode::Demand;
+  Groups.refuseUnknownKeys();
+}
+
 } // namespace
 
 std::size_t heldBytesLimit(const ServingSettings &Settings) {
@@ -94,6 +102,7 @@
     readRetries(Root.table("retries"), Value);
     readTimes(Root.table("times"), Value);
     readMemory(Root.table("memory"), Value);
+    readGroups(Root.table("groups"), Value);
     Root.refuseUnknownKeys();
   }
   if (!Found.empty())
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -169,6 +169,13 @@
     Added.set_model(Kind.Model);
     Added.set_per_second(PerSecond);
   }
+  for (const auto &[Kind, Places] : Report.Work) {
+    wire::Work &Added = *State.add_work();
+    Added.set_zone(Kind.Zone.str());
+    Added.set_service(Kind.Service.str());
+    Added.set_model(Kind.Model);
+    Added.set_places(Places);
+  }
   encode(Report.Suspects, Now, State);
 }
 
@@ -212,6 +219,10 @@
   for (const wire::Demand &Each : State.demands())
     Report.Demands[{ServiceId(Each.service()), Each.model()}] =
         Each.per_second();
+  for (const wire::Work &Each : State.work())
+    Report
+        .Work[{ZoneId(Each.zone()), ServiceId(Each.service()), Each.model()}] =
+        Each.places();
   Report.Suspects = decodeSuspects(State, Now);
   return Report;
 }
@@ -246,6 +257,8 @@
     Sum.Loads[Key] += Load;
   for (const auto &[Kind, PerSecond] : Report.Demands)
     Sum.Demands[Kind] += PerSecond;
+  for (const auto &[Kind, Places] : Report.Work)
+    Sum.Work[Kind] += Places;
   addBreakOffs(Sum.BreakOffs, Report.BreakOffs);
   addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -142,6 +142,14 @@
     probeAsked();
 }
 
+void GroupController::noteWork(const WorkAsked &Elsewhere,
+                               const WorkAsked &Own) {
+  WorkAsked All = Elsewhere;
+  for (const auto &[Kind, Places] : Own)
+    All[Kind] += Places;
+  noteNews(Work, All, Settings.Plan.Demand.MaxAge, Timers.now());
+}
+
 void GroupController::noteUnlisted(const Instance &Last) {
   if (!Last.Group)
     return;
@@ -324,11 +332,13 @@
     State.Settings = Settings.Plan;
     State.FirstEpoch = Lease.Record.Term * EpochsPerTerm;
     State.NextEpoch = std::max(State.NextEpoch, State.FirstEpoch);
+    State.Exchanges.Asked = workOfService(Work, Id);
     std::map<std::string, ModelSummary> Before = State.Models;
     for (const GroupOrder &Order :
          planGroups(State, plannedInstances(Id), Service, First, Now))
       sendOrder(Order);
     publishModels(Before, State.Models);
+    publishDemand(State.Exchanges);
   }
 }
 
@@ -353,6 +363,26 @@
   }
 }
 
+void GroupController::publishDemand(const ExchangeState &Exchanges) {
+  for (const ModelSupply &Each : Exchanges.Supplies) {
+    Metrics.set("model_demand_places", {{"model", Each.Model}}, Each.Work);
+    Metrics.set("model_places", {{"model", Each.Model}},
+                static_cast<double>(Each.Groups) * Each.Slots);
+  }
+  for (const Exchange &Begun : Exchanges.Begun) {
+    Metrics.count("groups_given_up", "model", Begun.From);
+    for (const ModelSupply &Each : Exchanges.Supplies) {
+      if (Each.Model != Begun.From && Each.Model != Begun.To)
+        continue;
+      spdlog::info("event=groups_given_up domain={} from={} to={} given_up={} "
+                   "gained={} model={} groups={} places={} demand={:.0f}",
+                   Begun.Domain, Begun.From, Begun.To, Begun.GivenUp,
+                   Begun.Gained, Each.Model, Each.Groups,
+                   Each.Groups * Each.Slots, Each.Work);
+    }
+  }
+}
+
 void GroupController::sendOrder(const GroupOrder &Order) {
   if (Order.Kind == OrderKind::Check)
     return requestReport(Order.To);
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Serving/GroupPlan.h"
 
 #include "samphirehill/Serving/GroupQuota.h"
+#include "samphirehill/Serving/GroupWeights.h"
 
 #include <algorithm>
 #include <cmath>
@@ -28,8 +29,10 @@
 public:
   Planner(GroupPlanState &State, const std::vector<PlannedInstance> &Engines,
           const ServiceShape &Service, bool FirstStart, TimePoint Now)
-      : State(State), Engines(Engines), Shape(*Service.Engine),
-        Service(Service), FirstStart(FirstStart), Now(Now) {
+      : State(State), Engines(Engines),
+        Service(withPlannedShares(Service, State.Exchanges,
+                                  State.Settings.Demand, Now)),
+        Shape(*this->Service.Engine), FirstStart(FirstStart), Now(Now) {
     for (const PlannedInstance &Each : Engines)
       ById[Each.Listed.Id] = &Each;
   }
@@ -43,13 +46,14 @@
     planQuotas(Domains, Service, GroupedEngines, State.Settings.SpareShare);
     if (FirstStart && isSettling())
       return {};
-    recordSurplus();
+    recordSurplus(State, Domains, Now);
     for (auto &[Name, Each] : Domains)
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
       stageWeights(Each);
     for (const auto &[Name, Each] : Domains)
       releaseSurvivors(Each);
+    exchangeGroups();
     updateSummaries();
     return std::move(Orders);
   }
@@ -82,22 +86,6 @@
     return mayStay(Engine) && !Engine.Lapsed;
   }
 
-  // Records since when each domain has had more engines with a model's weights
-  // than it should have.
-  void recordSurplus() {
-    std::map<std::pair<std::string, std::string>, TimePoint> Since;
-    for (const auto &[Name, Domain] : Domains) {
-      for (const auto &[Model, Each] : Domain.Models) {
-        if (Each.Staged <= Each.WantedStaged)
-          continue;
-        auto Previous = State.SurplusSince.find({Name, Model});
-        Since[{Name, Model}] =
-            Previous == State.SurplusSince.end() ? Now : Previous->second;
-      }
-    }
-    State.SurplusSince = std::move(Since);
-  }
-
   // Returns whether the number of engines has changed within SettleTime.
   bool isSettling() {
     if (State.KnownEngines != Engines.size()) {
@@ -187,7 +175,9 @@
       if (!Each.Listed.Group)
         continue;
       const Membership &Place = *Each.Listed.Group;
-      State.LastModel[Each.Listed.Id] = modelOfGroup(Place.Group);
+      if (Place.Phase != MemberPhase::Joining)
+        State.LastModel[Each.Listed.Id] = {modelOfGroup(Place.Group),
+                                           Each.Listed.BornMilliseconds};
       ReportedGroup &Group = Groups[{Place.Group, Place.Epoch}];
       Group.Model = modelOfGroup(Place.Group);
       Group.ByRank[Place.Rank] = &Each;
@@ -241,7 +231,8 @@
         Group.ByRank.size() == static_cast<std::size_t>(Model->GroupSize) &&
         std::all_of(Group.ByRank.begin(), Group.ByRank.end(),
                     [](const auto &Member) { return mayStay(*Member.second); });
-    if (Complete && !hasMemberInOtherFormation(Key, Group) &&
+    if (Complete && !State.Exchanges.GivenUp.contains(Key.second) &&
+        !hasMemberInOtherFormation(Key, Group) &&
         updateCompleteGroup(Key, Group, *Head))
       return;
     if (Forming && (!Head || !mayServe(*Head)))
@@ -398,6 +389,8 @@
     if (isServing(Head)) {
       State.Forming.erase(Key.second);
       ++Summaries[Group.Model].Serving;
+      Running.push_back({Key.second, Group.Model, Head.Listed.Zone,
+                         Head.Listed.Domain, membersOf(Group)});
     }
     bool Lapsed =
         std::any_of(Group.ByRank.begin(), Group.ByRank.end(),
@@ -408,6 +401,14 @@
     return true;
   }
 
+  static std::vector<const PlannedInstance *>
+  membersOf(const ReportedGroup &Group) {
+    std::vector<const PlannedInstance *> Members;
+    for (const auto &[Rank, Each] : Group.ByRank)
+      Members.push_back(Each);
+    return Members;
+  }
+
   // Ends a group whose head serves or may serve. Its members join no other
   // group as long as that is so. The head is ordered to finish running requests
   // (Close), or to stop at once (Leave) if a member is lost or the head doesn't
@@ -497,11 +498,12 @@
       EngineDomain &Domain = Domains[Each.Listed.Domain];
       Domain.Zone = Each.Listed.Zone;
       Domain.Usable.push_back(&Each);
-      for (const std::string &Model : stagedOrLoading(Each))
+      bool Grouped = Assigned.contains(Each.Listed.Id);
+      for (const std::string &Model : plannedWeights(State, Each, Grouped))
         ++Domain.Models[Model].Staged;
-      bool Available = !Assigned.contains(Each.Listed.Id) && !isLoading(Each);
-      for (const std::string &Model : Each.Listed.Staged)
-        Domain.Models[Model].Available += Available;
+      for (const ModelShape &Model : Shape.Models)
+        Domain.Models[Model.Name].Available +=
+            !Grouped && joinsFast(State, Each, Model.Name);
       // Engines of a broken group are free within seconds. Until then they
       // don't count as in groups, so that the domain keeps the spares that
       // complete the group again.
@@ -512,20 +514,6 @@
     }
   }
 
-  std::vector<std::string>
-  stagedOrLoading(const PlannedInstance &Engine) const {
-    auto Found = State.Loading.find(Engine.Listed.Id);
-    if (Found != State.Loading.end())
-      return {Found->second.Model};
-    return Engine.Listed.Staged;
-  }
-
-  static bool hasWeights(const PlannedInstance &Engine,
-                         const std::string &Model) {
-    const std::vector<std::string> &Names = Engine.Listed.Staged;
-    return std::find(Names.begin(), Names.end(), Model) != Names.end();
-  }
-
   bool isLoading(const PlannedInstance &Engine) const {
     return State.Loading.contains(Engine.Listed.Id);
   }
@@ -542,11 +530,9 @@
     std::vector<const PlannedInstance *> Ready;
     std::vector<const PlannedInstance *> Blank;
     for (const PlannedInstance *Each : Domain.Free) {
-      if (isLoading(*Each))
-        continue;
-      if (hasWeights(*Each, Model.Name))
+      if (joinsFast(State, *Each, Model.Name))
         Ready.push_back(Each);
-      else if (Each->Listed.Staged.empty())
+      else if (!isLoading(*Each) && Each->Listed.Staged.empty())
         Blank.push_back(Each);
     }
     std::size_t Size = static_cast<std::size_t>(Model.GroupSize);
@@ -561,7 +547,7 @@
     } else if (!Wanted) {
       return false;
     }
-    sortCandidates(Ready, Model);
+    sortCandidates(State, Ready, Model);
     Ready.resize(Size);
     if (!FirstStart && !allConfirmed(Domain, Ready))
       return false;
@@ -588,24 +574,6 @@
     return All;
   }
 
-  // Sorts the best candidates first. Engines that were last in a group of the
-  // model join fastest. Cold engines come later, so that they don't become the
-  // head.
-  void sortCandidates(std::vector<const PlannedInstance *> &Candidates,
-                      const ModelShape &Model) const {
-    auto Rank = [&](const PlannedInstance *Engine) {
-      auto Last = State.LastModel.find(Engine->Listed.Id);
-      bool SameModel =
-          Last != State.LastModel.end() && Last->second == Model.Name;
-      bool Slow = Engine->Listed.Pace > 1.5;
-      return std::tuple(Slow, !hasWeights(*Engine, Model.Name), Engine->Cold,
-                        !SameModel);
-    };
-    std::stable_sort(
-        Candidates.begin(), Candidates.end(),
-        [&](const auto *A, const auto *B) { return Rank(A) < Rank(B); });
-  }
-
   void startForming(EngineDomain &Domain, const ModelShape &Model,
                     const std::vector<const PlannedInstance *> &Chosen) {
     Formation NewGroup;
@@ -615,7 +583,7 @@
     Duration Expected = Model.WarmStart;
     for (const PlannedInstance *Each : Chosen) {
       NewGroup.Members.push_back(Each->Listed.Id);
-      if (hasWeights(*Each, Model.Name))
+      if (joinsFast(State, *Each, Model.Name))
         continue;
       Expected = Model.Load * 2;
       recordLoad(Each->Listed.Id, Model);
@@ -656,7 +624,8 @@
     for (const PlannedInstance *Each : Domain.Free) {
       if (isLoading(*Each) || !loadsAllowed(1))
         continue;
-      const ModelShape *Model = modelToLoad(Domain, *Each);
+      const ModelShape *Model =
+          modelToLoad(State, Domains, Service, *Each, Now);
       if (!Model ||
           !recordIfDue("stage " + Each->Listed.Id.str() + Model->Name))
         continue;
@@ -668,6 +637,26 @@
     }
   }
 
+  // Gives up groups of a model that has them to spare, so that their engines
+  // form groups of one that lacks them, and has the weights for such changes
+  // loaded ahead.
+  void exchangeGroups() {
+    ExchangeView View{Domains, Running, Service, {}, {}, FirstStart};
+    for (const auto &[Model, Each] : Summaries)
+      View.Ending[Model] = Each.Stranded;
+    for (const auto &[Epoch, Each] : State.Forming)
+      ++View.Forming[Each.Model];
+    chooseExchange(State.Exchanges, View, State.Settings.Demand, Now);
+    for (const auto &[Engine, Model] :
+         weightsToPrepare(State.Exchanges, View, State.Settings.Demand)) {
+      if (isLoading(*Engine) || !loadsAllowed(1) ||
+          !recordIfDue("stage " + Engine->Listed.Id.str() + Model->Name))
+        continue;
+      recordLoad(Engine->Listed.Id, *Model);
+      addOrder({OrderKind::Stage, Engine->Listed.Id, {}, 0, Model->Name});
+    }
+  }
+
   // Orders the free members of a group that has ended to leave it, so that
   // another holder of the duty need not wait for a head that it has never seen.
   void releaseSurvivors(const EngineDomain &Domain) {
@@ -681,46 +670,17 @@
     }
   }
 
-  // Returns the model whose weights a free engine should load, if any.
-  const ModelShape *modelToLoad(const EngineDomain &Domain,
-                                const PlannedInstance &Engine) {
-    for (const std::string &Old : Engine.Listed.Staged) {
-      auto Since = State.SurplusSince.find({Engine.Listed.Domain, Old});
-      auto Has = Domain.Models.find(Old);
-      if (Since == State.SurplusSince.end() ||
-          Now - Since->second < State.Settings.SurplusWait ||
-          Has->second.Staged <= Has->second.WantedStaged)
-        return nullptr;
-    }
-    const ModelShape *Best = nullptr;
-    int BestMissing = 0;
-    for (const ModelShape &Model : Shape.Models) {
-      if (!Engine.Listed.Staged.empty() &&
-          !mayReplaceWeights(Domains, Service, Engine.Listed.Staged.front(),
-                             Model))
-        continue;
-      auto Found = Domain.Models.find(Model.Name);
-      if (Found == Domain.Models.end())
-        continue;
-      int Missing = Found->second.WantedStaged - Found->second.Staged;
-      if (Missing > BestMissing) {
-        Best = &Model;
-        BestMissing = Missing;
-      }
-    }
-    return Best;
-  }
-
   GroupPlanState &State;
   const std::vector<PlannedInstance> &Engines;
+  const ServiceShape Service; // with the shares in force
   const EngineShape &Shape;
-  const ServiceShape &Service;
   bool FirstStart;
   TimePoint Now;
   std::map<InstanceId, const PlannedInstance *> ById;
   std::map<GroupKey, ReportedGroup> Groups;
   EngineDomains Domains;
   ModelEngines GroupedEngines;
+  std::vector<RunningGroup> Running;
   std::map<std::string, ModelSummary> Summaries; // by model
   std::set<InstanceId> Assigned;                 // to groups that serve or form
   std::set<InstanceId> Stranded; // in broken groups whose head may serve
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/Placement.h"
 
+#include "samphirehill/Serving/WorkCount.h"
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
@@ -117,18 +119,13 @@
 
 // Returns how long a request occupies its slot at an upstream with Load, in
 // seconds.
-double holdingSeconds(const UpstreamState &State, UpstreamLoad Load,
+double holdingSeconds(const UpstreamState &State, const UpstreamLoad &Load,
                       const PlacementQuery &Query,
                       const PlacementLimits &Limits) {
   if (!Query.Engine)
     return toSeconds(Limits.PlainRequestTime);
-  double Pace = State.Info.Pace;
-  double First = toSeconds(
-      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
-  double Events = static_cast<double>(Query.OutputTokens) /
-                  std::max(Query.Engine->EventSteps, 1);
-  Load.PendingTokens = 0;
-  return First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
+  return toSeconds(expectedHolding(Load, Query.PromptTokens, Query.OutputTokens,
+                                   *Query.Engine, State.Info.Pace));
 }
 
 // Slots of one ServiceModel, and the requests in them.
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -109,8 +109,11 @@
     Splitter.LastId = Facts.LastEventId;
     Fingerprint = requestFingerprint(Request.Target, Facts.Key, Request.Body);
     countRequest(shared().Retries, *Service, now());
-    if (Shape->Engine)
+    if (Shape->Engine) {
       noteEvent(Owner.ArrivalRates[serviceModel()], now());
+      if (ObjectiveStart == Received)
+        noteRequest(Owner.Work, serviceModel(), *Shape->Engine, Facts, now());
+    }
     if (!mayRun(shared().Crashes, Fingerprint, now()))
       return refuse(503, ResultCode::CrashesUpstreams, "crashes_upstreams",
                     CrashingRetryDelay);
@@ -979,14 +982,6 @@
   Config = std::move(Changed);
 }
 
-std::map<ServiceModel, double> RequestFlows::requestRates() const {
-  TimePoint Now = Shared.Timers.now();
-  std::map<ServiceModel, double> Rates;
-  for (const auto &[Kind, Rate] : ArrivalRates)
-    Rates[Kind] = rateAt(Rate, Now);
-  return Rates;
-}
-
 void RequestFlows::accept(std::shared_ptr<CallerRequest> Request) {
   auto Flow = std::make_shared<RequestFlow>(*this, Request, NextNumber++);
   Flows.insert(Flow);
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -124,6 +124,7 @@
   Groups.Entry = Settings.Entry.str();
   Groups.FirstStart = Settings.FirstStart;
   Groups.Zone = Settings.Zone;
+  Groups.Plan.Demand.Mode = Settings.Shares;
   return Groups;
 }
 
@@ -472,6 +473,7 @@
       Report.Loads[Key] = Own;
   }
   Report.Demands = Flows.requestRates();
+  Report.Work = workAsked(Flows.workRates(), Settings.Zone, Now);
   Report.BreakOffs = Crashes.Recent;
   if (Now - Peers.contactGainedAt() <= BreakOffSharing)
     addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
@@ -571,6 +573,8 @@
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
   TimePoint Now = Timers.now();
+  Groups.noteWork(Peers.workOfOtherEntries(),
+                  workAsked(Flows.workRates(), Settings.Zone, Now));
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
     // evidence than the other entries' reports.
--- a/test/Config/ServingSettingsTest.cpp
+++ b/test/Config/ServingSettingsTest.cpp
@@ -54,6 +54,13 @@
     EXPECT_EQ(Limit(Valid, Invalid), 0U) << Invalid;
 }
 
+TEST(ServingSettingsTest, ReadsHowTheEnginesAreShared) {
+  EXPECT_EQ(std::get<0>(parse(Valid)).Shares, ShareMode::Demand);
+  std::string Stated = Valid + "[groups]\nshares = \"stated\"\n";
+  EXPECT_EQ(std::get<0>(parse(Stated)).Shares, ShareMode::Stated);
+  EXPECT_TRUE(errorOf(parse(Valid + "[groups]\nshares = \"even\"\n")));
+}
+
 TEST(ServingSettingsTest, NamesEveryProblem) {
   std::string Broken = Valid;
   Broken.replace(Broken.find("10.1.0.40:8227"), 14, "edge-1.example");
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -40,6 +40,7 @@
                      {{4, TimePoint{seconds(7)}}},
                      {{5, 2, TimePoint{seconds(6)}}}};
   Report.Demands = {{{PoolService, "large"}, 12.5}, {{PlainService, ""}, 1}};
+  Report.Work = {{{ZoneId("west"), PoolService, "large"}, 31.5}};
   return Report;
 }
 
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -344,14 +344,15 @@
 enum class OrderTiming { Immediate, SomeLate };
 
 // Plays a random history of failures, drains, outdated entries of the list,
-// late orders and changes of the duty's holder. A new holder starts without
-// state.
+// late orders, changes of the demand and of the duty's holder. A new holder
+// starts without state.
 void playHistory(GroupWorld &World, OrderTiming Timing) {
   GroupPlanState State;
   run(World, State, 100, true);
   std::int64_t Term = 1;
+  ModelWork Asked;
   for (int Step = 0; Step < 60; ++Step) {
-    int Action = *rc::gen::inRange(0, 12);
+    int Action = *rc::gen::inRange(0, 14);
     auto Which = *rc::gen::inRange<std::size_t>(0, 1'000);
     std::optional<InstanceId> Member = World.someMember(Which);
     if (Action == 0 && Member && World.alive().size() > 6)
@@ -368,6 +369,10 @@
       State = GroupPlanState{};
       State.NextEpoch = State.FirstEpoch = ++Term * 100'000;
     }
+    if (Action == 6)
+      Asked = {{"large", *rc::gen::inRange(1, 400)},
+               {"small", *rc::gen::inRange(1, 400)}};
+    State.Exchanges.Asked = Asked;
     run(World, State, 4);
   }
 }
@@ -387,6 +392,87 @@
   RC_ASSERT(World.Broken == std::vector<std::string>());
 }
 
+// Work for three quarters of the places of 20 small groups and of one large
+// group.
+const ModelWork MostlySmall{{"large", 10}, {"small", 390}};
+
+// The shares that operators state give "small" a third of the engines, but
+// callers ask for it forty times as often.
+TEST(GroupPlanTest, MovesEnginesToTheModelThatIsAskedForMost) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  ASSERT_EQ(World.openGroups("large"), 8);
+  ASSERT_EQ(World.openGroups("small"), 8);
+  TimePoint Start = World.Now;
+  State.Exchanges.Asked = MostlySmall;
+  run(World, State, 35); // 7 s
+  EXPECT_GE(World.openGroups("small"), 10);
+  run(World, State, 150);
+  // Each of the three zones keeps a large group.
+  EXPECT_GE(World.openGroups("large"), 3);
+  EXPECT_GE(World.openGroups("small"), 14);
+  EXPECT_EQ(World.loadsSince(Start), 0u);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+TEST(GroupPlanTest, KeepsGroupsWhenOperatorsFixTheShares) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  State.Settings.Demand.Mode = ShareMode::Stated;
+  run(World, State, 200, true);
+  State.Exchanges.Asked = MostlySmall;
+  int Orders = World.Orders;
+  run(World, State, 150);
+  EXPECT_EQ(World.openGroups("large"), 8);
+  EXPECT_EQ(World.Orders, Orders);
+}
+
+TEST(GroupPlanTest, ComesToRestUnderSteadyDemand) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  State.Exchanges.Asked = MostlySmall;
+  run(World, State, 300);
+  int Orders = World.Orders;
+  run(World, State, 300);
+  EXPECT_EQ(World.Orders, Orders);
+}
+
+// The holder of the duty ends after it has closed a group. The next holder
+// knows nothing of the change.
+TEST(GroupPlanTest, LosesNoGroupWhenTheHolderEndsDuringAChange) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  State.Exchanges.Asked = MostlySmall;
+  for (int Ticks = 0; Ticks < 100 && State.Exchanges.GivenUp.empty(); ++Ticks)
+    run(World, State, 1);
+  ASSERT_FALSE(State.Exchanges.GivenUp.empty());
+  run(World, State, 1);
+  State = GroupPlanState{};
+  State.NextEpoch = State.FirstEpoch = 200'000;
+  run(World, State, 100);
+  EXPECT_GE(World.openGroups("large") * 4 + World.openGroups("small") * 2, 46);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+// A member of a group has loaded the other model's weights when the group
+// breaks. The others join a group of their model again without a load.
+TEST(GroupPlanTest, RebuildsAPreparedGroupWithoutALoad) {
+  GroupWorld World(1, 9);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  ASSERT_EQ(World.openGroups("large"), 1);
+  int Groups = World.openGroups("large") + World.openGroups("small");
+  TimePoint Start = World.Now;
+  World.kill(*World.someFollower("small"));
+  run(World, State, 30);
+  EXPECT_GE(World.openGroups("large") + World.openGroups("small"), Groups - 1);
+  EXPECT_EQ(World.loadsSince(Start), 0u);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
 // Seen on the bench: a new holder of the duty ordered an engine to load weights
 // while it still loaded others for the earlier holder, so the engine refused.
 // The new holder waited for twice the time of a load, 24 s, in which the domain
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -132,8 +132,10 @@
   Duration JoinTime = To.LastModel == Order.Model ? milliseconds(200)
                       : Staged                    ? Model.WarmStart
                                                   : Model.Load;
-  if (!Staged)
+  if (To.LastModel != Order.Model && !Staged) {
     To.Actual.Staged = {Order.Model};
+    LoadStarts.push_back(Now);
+  }
   To.JoinEnds = Now + JoinTime;
 }
 
@@ -185,6 +187,7 @@
     return true;
   case OrderKind::Stage:
     To.Loading = Order.Model;
+    LoadStarts.push_back(Now);
     To.LoadEnds = Now + findModel(poolShape(), Order.Model)->Load;
     return true;
   }
@@ -219,6 +222,12 @@
   return Count;
 }
 
+std::size_t GroupWorld::loadsSince(TimePoint Since) const {
+  return static_cast<std::size_t>(
+      std::count_if(LoadStarts.begin(), LoadStarts.end(),
+                    [&](TimePoint At) { return At >= Since; }));
+}
+
 std::vector<InstanceId> GroupWorld::alive() const {
   std::vector<InstanceId> Found;
   for (const auto &[Id, Each] : Engines) {
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -36,6 +36,8 @@
   void delayOrders(Duration Delay) { OrderDelay = Delay; }
 
   int openGroups(const std::string &Model) const;
+  // Returns the loads of weights from the store that began at Since or later.
+  std::size_t loadsSince(TimePoint Since) const;
   std::vector<InstanceId> alive() const;
   // Returns a member of any group, selected by Which, or nothing.
   std::optional<InstanceId> someMember(std::size_t Which) const;
@@ -79,6 +81,7 @@
   std::map<InstanceId, Engine> Engines;
   std::map<InstanceId, Instance> Frozen;
   std::vector<DelayedOrder> Pending;
+  std::vector<TimePoint> LoadStarts;
   Duration OrderDelay{};
 };
 
--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -47,6 +47,7 @@
         Own.Sequence = ++Sequence;
         Own.Loads[Group] = {1, 10};
         Own.Demands[Requested] = 2.0;
+        Own.Work[{Table.Zone, Requested.Service, Requested.Model}] = 3.0;
         Own.ListRevision = 1;
         if (Denying.contains(Name))
           Own.Denials[Group.Instance] = 1;
@@ -105,6 +106,11 @@
           demandOfOtherEntries(Table, Simulation.Now).at(Requested),
           2.0 * (3 * EntriesPerZone - 1))
           << Entry.str();
+      double Work = 0;
+      for (const auto &[Kind, Places] :
+           workOfOtherEntries(Table, Simulation.Now))
+        Work += Places;
+      ASSERT_DOUBLE_EQ(Work, 3.0 * (3 * EntriesPerZone - 1)) << Entry.str();
     }
   }
 }
