--- a/test/Platform/StoreTest.cpp
+++ b/test/Platform/StoreTest.cpp
@@ -108,10 +108,11 @@
       std::int64_t Revision = Number > Gap ? 6 : 5;
       if (Number <= 3)
         To.send(reply(
-            200,
-            {{"items", {object(std::string(1, 'a' + Number - 1), Number, 10)}},
-             {"truncated", Number < 3},
-             {"store_revision", Revision}}));
+            200, {{"items",
+                   {object(std::string(1, static_cast<char>('a' + Number - 1)),
+                           Number, 10)}},
+                  {"truncated", Number < 3},
+                  {"store_revision", Revision}}));
       if (Number == 4)
         To.send(reply(
             200,
