Give places that are short by fair shares over all entries

An entry with callers of a small organisation only got places in proportion to its request rate, and requests of a large organisation at other entries took the rest. Entries now tell the work of organisations (EntryState.organisation_work: held, waiting and asked places by rank; at most 64 claims of a kind, the rest as sums; relays sum, the own part is subtracted like demands). PlaceShares applies the shares to the entry's part of the places, to free places that others wait for, to the order of waiting, and to the priority that engines get. An organisation's own priority goes before its route's (priorityOf, moved from RequestFlow).

Metrics by organisation with a bounded label, `limit`, `rank` and `organisation` in event=finished, and [shares] in the settings.

273 of 273 ServingTests and 20 of 20 ConfigTests pass.

--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -20,6 +20,10 @@
 //   [times]
 //   grace = "8s"                  # from SIGTERM to the end of the process
 //   drain = "2s"                  # until a leaving instance gets nothing new
+//   [shares]                      # of places for which more requests wait
+//   enabled = true                # than there are places
+//   rank_floor = 0.05             # of the places, for each priority
+//   organisation_floor = 0        # of the places in proportion to requests
 //   [memory]
 //   limit_mb = 260                # of this process on its machine; by default
 //                                 # the variable MEMORY_LIMIT_MB, or 160
@@ -50,6 +54,11 @@
   Duration Drain = seconds(2);
   double MemoryLimitMb = 160; // a megabyte has 1,000,000 bytes
   double HeldShare = 0.6;     // of MemoryLimitMb
+  // Whether organisations and priorities get fair shares of places that are
+  // short. See ShareSettings in Limits/FairShare.h for the floors.
+  bool FairShares = true;
+  double RankFloor = 0.05;
+  double OrganisationFloor = 0;
 
   bool operator==(const ServingSettings &) const = default;
 };
--- a/include/samphirehill/Serving/Configuration.h
+++ b/include/samphirehill/Serving/Configuration.h
@@ -80,6 +80,13 @@
   bool operator==(const Configuration &) const = default;
 };
 
+// Priorities range from 0, which is served first, to this.
+inline constexpr int LowestPriority = 9;
+
+// Returns the priority of a request of Route, 0 (first) to 9: that of its
+// organisation, or else the route's. Caller is null for anonymous requests.
+int priorityOf(const Route &Route, const Organisation *Caller);
+
 // Chooses a service of Route by weight, where Unit is a random number uniform
 // in [0, 1). Returns nullptr if no service has a positive weight.
 const ServiceId *pickService(const Route &Route, double Unit);
--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -5,6 +5,7 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/FairShare.h"
 #include "samphirehill/Limits/PartSuspects.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
@@ -57,6 +58,8 @@
   // Requests per second that callers send, by the upstreams that may serve
   // them.
   std::map<ServiceModel, double> Demands;
+  // Work of organisations, by the kind of place.
+  std::map<ServiceModel, WorkByClaim> Work;
   SuspectReport Suspects;
 
   bool operator==(const EntryReport &) const = default;
--- a/include/samphirehill/Serving/Placement.h
+++ b/include/samphirehill/Serving/Placement.h
@@ -17,9 +17,17 @@
   Quiet,  // all upstreams of the ServiceModel have asked for a pause
 };
 
+// Slots of one ServiceModel, and the requests in them.
+struct Occupancy {
+  double Target = 0; // slots that the entries together may fill
+  int Own = 0;       // requests of this entry
+  int All = 0;       // requests of all entries
+};
+
 struct Placement {
   std::optional<UpstreamKey> Chosen;
   PlacementFailure Reason = PlacementFailure::Absent; // if nothing is chosen
+  Occupancy Occupied;
   int Candidates = 0;     // upstreams of the ServiceModel that aren't leaving
   TimePoint QuietUntil{}; // Reason is Quiet: when the first pause ends
 };
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -10,6 +10,7 @@
 #include "samphirehill/Serving/CallerServer.h"
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/CrashRecord.h"
+#include "samphirehill/Serving/PlaceShares.h"
 #include "samphirehill/Serving/RequestWire.h"
 #include "samphirehill/Serving/RetryShare.h"
 #include "samphirehill/Serving/ServingMetrics.h"
@@ -33,6 +34,7 @@
 struct FlowSettings {
   ZoneId Zone; // of this entry
   WaitLimits Wait;
+  ShareSettings Shares;
   // A group is considered stalled when none of its requests has made progress
   // for this long. At full load one engine pass, with one chunk of a prompt
   // read in between, takes about 110 ms.
@@ -111,6 +113,9 @@
   // second, by kind of place. Engine services only.
   std::map<ServiceModel, double> requestRates() const;
 
+  // The claims of organisations on places, at this entry and at the others.
+  PlaceShares &shares() { return Shares; }
+
 private:
   friend class RequestFlow;
   void sweep();
@@ -134,6 +139,7 @@
   // Rate at which requests are sent; only for kinds that had a request sent.
   std::map<ServiceModel, EventRate> SendRates;
   std::map<ServiceModel, EventRate> ArrivalRates; // engine services only
+  PlaceShares Shares;
   std::map<ServiceModel, FirstEventTime> FirstEventTimes;
   std::map<std::string, LongestCallerTimeout> LongestTimeouts; // by route
   std::map<std::string, LongestAnswerTime> AnswerTimes;        // by route
--- a/include/samphirehill/Serving/ServingMetrics.h
+++ b/include/samphirehill/Serving/ServingMetrics.h
@@ -8,9 +8,11 @@
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,6 +26,16 @@
 using LatencyHistogram = decltype(boost::histogram::make_histogram(
     LatencyAxis(14, 0.001, 16.384, "seconds")));
 
+// Bounds the number of values that one label takes.
+struct LabelBound {
+  std::size_t MaxValues = 64;
+  std::set<std::string, std::less<>> Known;
+};
+
+// Returns Value, or "other" if the label has taken as many other values as it
+// may.
+std::string_view boundedLabel(LabelBound &Bound, std::string_view Value);
+
 class ServingMetrics {
 public:
   // Adds Amount to the counter Name with one label, for example
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -158,6 +158,9 @@
   // to 1.
   double DemandShare = 1.0;
   bool Late = false; // can no longer meet its objective
+  // The caller's organisation has a share of the slots left at this entry,
+  // whatever the other requests of this entry take.
+  bool WithinShare = false;
   // An upstream has already worked on the request, so it may take any free
   // slot.
   bool Begun = false;
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Serving/Placement.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -36,6 +37,9 @@
   double MinStartFraction = 0.25;
 };
 
+// Returns the name of Reason in logs.
+const char *toString(PlacementFailure Reason);
+
 // Returns how long a request may wait. Reason says why no upstream can take
 // it; TimeLeft is the caller's remaining time when the wait began.
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
@@ -68,6 +72,13 @@
 // Returns the events per second, decayed to Now.
 double rateAt(const EventRate &Rate, TimePoint Now);
 
+// Returns this entry's share of the rate of callers' requests at all entries
+// for places of Kind, 0 to 1. Returns 1 if either rate is unknown. Elsewhere is
+// in requests per second.
+double demandShare(const std::map<ServiceModel, EventRate> &Here,
+                   const std::map<ServiceModel, double> &Elsewhere,
+                   const ServiceModel &Kind, TimePoint Now);
+
 // Returns how many requests may wait for places of one kind, when requests are
 // sent to such places at Rate.
 std::size_t maxQueueLength(const WaitLimits &Limits, const EventRate &Rate,
@@ -124,14 +135,17 @@
   int Priority = 5;         // 0 is served first, 9 last
   TimePoint StartBy{};      // when it must be sent to meet its objective
   bool Begun = false;       // an upstream has worked on it, or may have
+  // Its organisation or rank has its share of the places; see FairShare.h.
+  bool BeyondShare = false;
 
   bool operator==(const WaitingRequest &) const = default;
 };
 
-// Returns the index of the request to serve next: by priority, and within one
-// priority first those that can still meet their objective. Under overload some
-// requests are then answered in time; first come, first served would answer all
-// of them late. Waiting must not be empty.
+// Returns the index of the request to serve next: those within a share of the
+// places first, then by priority, and within one priority first those that can
+// still meet their objective. Under overload some requests are then answered in
+// time; first come, first served would answer all of them late. Waiting must
+// not be empty.
 std::size_t nextToServe(const std::vector<WaitingRequest> &Waiting,
                         TimePoint Now);
 
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -65,6 +65,15 @@
   Memory.refuseUnknownKeys();
 }
 
+void readShares(TableReader Shares, ServingSettings &Into) {
+  constexpr double HighestFloor = 0.1; // ten priorities together keep all
+  Into.FairShares = Shares.boolean("enabled", Into.FairShares);
+  Into.RankFloor = Shares.number("rank_floor", 0, HighestFloor, Into.RankFloor);
+  Into.OrganisationFloor =
+      Shares.number("organisation_floor", 0, 1, Into.OrganisationFloor);
+  Shares.refuseUnknownKeys();
+}
+
 } // namespace
 
 std::size_t heldBytesLimit(const ServingSettings &Settings) {
@@ -94,6 +103,7 @@
     readRetries(Root.table("retries"), Value);
     readTimes(Root.table("times"), Value);
     readMemory(Root.table("memory"), Value);
+    readShares(Root.table("shares"), Value);
     Root.refuseUnknownKeys();
   }
   if (!Found.empty())
--- a/lib/Serving/Configuration.cpp
+++ b/lib/Serving/Configuration.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/Configuration.h"
 
+#include <algorithm>
+
 namespace samphirehill::serving {
 
 const ServiceId *pickService(const Route &Route, double Unit) {
@@ -19,6 +21,11 @@
   return Last;
 }
 
+int priorityOf(const Route &Route, const Organisation *Caller) {
+  int Chosen = Caller && Caller->Priority ? *Caller->Priority : Route.Priority;
+  return std::clamp(Chosen, 0, LowestPriority);
+}
+
 const ModelShape *findModel(const ServiceShape &Service,
                             std::string_view Name) {
   if (!Service.Engine)
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -115,6 +115,37 @@
   return Report;
 }
 
+void encode(const std::map<ServiceModel, WorkByClaim> &Work,
+            wire::EntryState &State) {
+  for (const auto &[Kind, Claims] : Work) {
+    wire::KindWork &Added = *State.add_organisation_work();
+    Added.set_service(Kind.Service.str());
+    Added.set_model(Kind.Model);
+    for (const auto &[Key, Each] : Claims) {
+      wire::OrganisationWork &Claim = *Added.add_claims();
+      Claim.set_rank(static_cast<std::uint32_t>(Key.Rank));
+      Claim.set_organisation(Key.Organisation.str());
+      Claim.set_held(static_cast<std::uint32_t>(Each.Held));
+      Claim.set_waiting(static_cast<std::uint32_t>(Each.Waiting));
+      Claim.set_asked(static_cast<float>(Each.Asked));
+      Claim.set_claims(static_cast<std::uint32_t>(Each.Claims));
+    }
+  }
+}
+
+std::map<ServiceModel, WorkByClaim> decodeWork(const wire::EntryState &State) {
+  std::map<ServiceModel, WorkByClaim> Work;
+  for (const wire::KindWork &Kind : State.organisation_work()) {
+    WorkByClaim &Claims = Work[{ServiceId(Kind.service()), Kind.model()}];
+    for (const wire::OrganisationWork &Each : Kind.claims())
+      Claims[{static_cast<int>(Each.rank()),
+              OrganisationId(Each.organisation())}] = {
+          static_cast<int>(Each.held()), static_cast<int>(Each.waiting()),
+          Each.asked(), std::max(static_cast<int>(Each.claims()), 1)};
+  }
+  return Work;
+}
+
 void encode(const EntryReport &Report, TimePoint Now, wire::EntryState &State) {
   State.set_entry(Report.Entry.str());
   State.set_incarnation(Report.Life);
@@ -169,6 +200,7 @@
     Added.set_model(Kind.Model);
     Added.set_per_second(PerSecond);
   }
+  encode(Report.Work, State);
   encode(Report.Suspects, Now, State);
 }
 
@@ -212,6 +244,7 @@
   for (const wire::Demand &Each : State.demands())
     Report.Demands[{ServiceId(Each.service()), Each.model()}] =
         Each.per_second();
+  Report.Work = decodeWork(State);
   Report.Suspects = decodeSuspects(State, Now);
   return Report;
 }
@@ -246,6 +279,8 @@
     Sum.Loads[Key] += Load;
   for (const auto &[Kind, PerSecond] : Report.Demands)
     Sum.Demands[Kind] += PerSecond;
+  for (const auto &[Kind, Claims] : Report.Work)
+    addWork(Sum.Work[Kind], Claims);
   addBreakOffs(Sum.BreakOffs, Report.BreakOffs);
   addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -131,13 +131,6 @@
   return First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
 }
 
-// Slots of one ServiceModel, and the requests in them.
-struct Occupancy {
-  double Target = 0; // slots that the entries together may fill
-  int Own = 0;       // requests of this entry
-  int All = 0;       // requests of all entries
-};
-
 // Returns how many slots of an upstream the entries together may fill: all but
 // those kept free by PlacementLimits::FreeDeviations.
 double targetSlots(const UpstreamState &State, const PlacementQuery &Query,
@@ -232,7 +225,7 @@
   std::vector<Candidate> Candidates;
   bool AllAvoided = true;
   int QuietCount = 0;
-  Occupancy Occupied;
+  Occupancy &Occupied = Result.Occupied;
   bool SharesSlots =
       Query.Engine && !Query.Begun && Book.Limits.ReportAge > Duration::zero();
   for (const auto &[Key, State] : Book.Upstreams) {
@@ -242,8 +235,8 @@
         hasEnded(Book, lifeOf(Info), Now))
       continue;
     ++Result.Candidates;
-    if (SharesSlots)
-      Occupied.Target += targetSlots(State, Query, Book.Limits);
+    Occupied.Target += SharesSlots ? targetSlots(State, Query, Book.Limits)
+                                   : static_cast<double>(Info.Slots);
     Occupied.Own += State.OwnLoad.Running;
     Occupied.All += State.OwnLoad.Running + State.PeerLoad.Running;
     if (isQuiet(Book, Info, Query)) {
@@ -269,8 +262,8 @@
   }
   if (QuietCount > 0 && QuietCount == Result.Candidates)
     Result.Reason = PlacementFailure::Quiet;
-  if (Candidates.empty() ||
-      (SharesSlots && usesItsShare(Occupied, Query, Book.Limits)))
+  if (Candidates.empty() || (SharesSlots && !Query.WithinShare &&
+                             usesItsShare(Occupied, Query, Book.Limits)))
     return Result;
   double Horizon =
       Book.Limits.LevelingHorizon * toSeconds(Book.Limits.ReportAge);
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -18,8 +18,6 @@
 constexpr Duration MinTimeToSend = milliseconds(20);
 // Bounds the body of an answer that is collected before it is forwarded.
 constexpr std::size_t MaxCollectedBytes = 8'388'608;
-constexpr int DefaultPriority = 5;
-constexpr int LowestPriority = 9;
 // Retry-After of requests that are refused for lack of a usable configuration,
 // and of requests that have crashed upstreams.
 constexpr Duration NoConfigurationRetryDelay = milliseconds(500);
@@ -27,18 +25,6 @@
 // Other entries serve while this one stops.
 constexpr Duration StoppingRetryDelay{};
 
-const char *toString(PlacementFailure Reason) {
-  switch (Reason) {
-  case PlacementFailure::Absent:
-    return "absent";
-  case PlacementFailure::Full:
-    return "full";
-  case PlacementFailure::Quiet:
-    return "quiet";
-  }
-  return "unknown";
-}
-
 // Returns whether the body of an answer may be an event stream.
 bool mayHoldEvents(const HttpResponse &Head) {
   const std::string *Type = findHeader(Head.Headers, "content-type");
@@ -118,7 +104,11 @@
                  "config={} left_ms={}",
                  Facts.Id, Found->Name, Service->str(), Facts.Model,
                  Config->Version, toMilliseconds(Deadline - now()));
-    return !refuseIfBlamed();
+    if (refuseIfBlamed())
+      return false;
+    if (const ModelShape *Model = findModel(*Shape, Facts.Model))
+      claimPlace(*Model);
+    return true;
   }
 
   // Ends the request if a part of its prompt is blamed for crashes of engines,
@@ -160,6 +150,8 @@
       return false;
     PlacementQuery Query = query();
     Placement Found = place(shared().Book, Query, now());
+    if (!hasBegun())
+      yieldPlace(Owner.Shares, Claim, Found, now(), shared().Metrics);
     LastReason = Found.Reason;
     QuietUntil = Found.QuietUntil;
     if (!Found.Chosen)
@@ -173,7 +165,7 @@
   }
 
   WaitingRequest waitingRequest() const {
-    return {Number, priority(), startBy(), hasBegun()};
+    return {Number, priority(), startBy(), hasBegun(), isBeyondOwnShare()};
   }
 
   // Returns whether this request and Other wait for the same kind of place.
@@ -203,6 +195,7 @@
   void beginWaiting() {
     State = FlowState::Waiting;
     WaitStart = now();
+    moveTo(Owner.Shares, Claim, ClaimPhase::Waiting);
     spdlog::info("event=queued request={} reason={} candidates_tried={}",
                  Facts.Id, toString(LastReason), Tried.size());
   }
@@ -279,13 +272,20 @@
     return true;
   }
 
-  int priority() const {
-    int Chosen = DefaultPriority;
-    if (MatchedRoute)
-      Chosen = MatchedRoute->Priority;
-    if (OwningOrganisation && OwningOrganisation->Priority)
-      Chosen = *OwningOrganisation->Priority;
-    return std::clamp(Chosen, 0, LowestPriority);
+  int priority() const { return priorityOf(*MatchedRoute, OwningOrganisation); }
+
+  // Begins to count the request's claim on a place.
+  void claimPlace(const ModelShape &Model) {
+    OrganisationId Organisation =
+        OwningOrganisation ? OwningOrganisation->Id : OrganisationId();
+    Duration Holding = expectedHolding(*Shape->Engine, Model,
+                                       Facts.PromptTokens, Facts.OutputTokens);
+    Claim = countClaim(Owner.Shares, serviceModel(), {priority(), Organisation},
+                       Holding, now());
+  }
+
+  bool isBeyondOwnShare() const {
+    return !hasBegun() && isBeyondShare(Owner.Shares, Claim, now());
   }
 
   std::string model() const {
@@ -307,18 +307,6 @@
 
   ServiceModel serviceModel() const { return {Shape->Id, model()}; }
 
-  // Returns this entry's share of the rate of callers' requests at all entries
-  // for the same kind of place, 0 to 1. Returns 1 if either rate is unknown.
-  double demandShare() const {
-    auto Own = Owner.ArrivalRates.find(serviceModel());
-    auto Elsewhere = shared().Book.PeerDemand.find(serviceModel());
-    if (Own == Owner.ArrivalRates.end() ||
-        Elsewhere == shared().Book.PeerDemand.end())
-      return 1.0;
-    double Here = rateAt(Own->second, now());
-    return Here / std::max(Here + Elsewhere->second, 1e-9);
-  }
-
   PlacementQuery query() const {
     PlacementQuery Query;
     Query.Service = Shape->Id;
@@ -335,10 +323,12 @@
       Query.OutputTokens = Facts.OutputTokens;
       Query.TimeLeft = Deadline - now();
       Query.Objective = MatchedRoute->Objective;
-      Query.DemandShare = demandShare();
+      Query.DemandShare = demandShare(
+          Owner.ArrivalRates, shared().Book.PeerDemand, serviceModel(), now());
       Query.Late =
           MatchedRoute->Objective > Duration::zero() && now() > startBy();
       Query.Begun = hasBegun();
+      limitByShare(Owner.Shares, Claim, Query, now());
     }
     return Query;
   }
@@ -356,12 +346,13 @@
     Sent.Expected = Key.Instance;
     if (OwningOrganisation)
       Sent.Organisation = OwningOrganisation->Id;
-    Sent.Priority = priority();
+    Sent.Priority = isBeyondOwnShare() ? LowestPriority : priority();
     Sent.LastEventId = Splitter.LastId;
     std::string Bytes = serialize(shared().Wire.Forward(Caller->Request, Sent));
     CurrentUpstream = Key;
     CurrentLife = lifeOf(Chosen);
     State = FlowState::Sent;
+    moveTo(Owner.Shares, Claim, ClaimPhase::Holding);
     AttemptStart = LastProgressAt = now();
     ++Attempts;
     HeadSeen = false;
@@ -853,6 +844,7 @@
     noteFirstEventOrEnd();
     noteEnded(shared().Book, *CurrentUpstream, Failed);
     CurrentUpstream.reset();
+    moveTo(Owner.Shares, Claim, ClaimPhase::None);
   }
 
   // Ends the request with an answer of this entry, of status 503. Why is the
@@ -894,12 +886,16 @@
   void finish(std::string_view Outcome, ResultCode Code) {
     shared().Metrics.count("requests", "result", Outcome);
     shared().Metrics.observe("answer", now() - Caller->ReceivedAt);
+    ShareLimit Limit = noteOutcome(Owner.Shares, Claim, Outcome == "served",
+                                   now(), shared().Metrics);
     auto Level =
         Code == ResultCode::Ok ? spdlog::level::info : spdlog::level::warn;
     spdlog::log(Level,
-                "event=finished request={} outcome={} sent_ms={} first_ms={} "
-                "expected_ms={} after_ms={} code={} attempts={} runs={}",
-                Facts.Id, Outcome, sinceReceived(AttemptStart),
+                "event=finished request={} organisation={} rank={} outcome={} "
+                "limit={} sent_ms={} first_ms={} expected_ms={} after_ms={} "
+                "code={} attempts={} runs={}",
+                Facts.Id, Claim.Key.Organisation.str(), Claim.Key.Rank, Outcome,
+                toString(Limit), sinceReceived(AttemptStart),
                 sinceReceived(FirstAt), toMilliseconds(ExpectedFirst), ageMs(),
                 static_cast<int>(Code), Attempts, Runs);
     endRequest();
@@ -907,6 +903,7 @@
 
   void endRequest() {
     stopAttempt(false);
+    moveTo(Owner.Shares, Claim, ClaimPhase::None);
     Held.clear();
     State = FlowState::Done;
     Owner.remove(shared_from_this());
@@ -956,12 +953,14 @@
   AnswerFacts CollectedFacts;
   EventSplitter Splitter;
   HeldBytes Held; // of Collected and Splitter
+  CountedClaim Claim;
   TimerSubscription EndHeld;
 };
 
 RequestFlows::RequestFlows(FlowShared Shared, FlowSettings Settings)
     : Shared(std::move(Shared)), Settings(std::move(Settings)),
       Random(std::random_device{}()) {
+  Shares.Settings = this->Settings.Shares;
   Sweep = this->Shared.Timers.every(SweepPeriod, [this] { sweep(); });
 }
 
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -113,9 +113,18 @@
           Entries};
 }
 
+ShareSettings shareSettings(const ServingSettings &Settings) {
+  ShareSettings Shares;
+  Shares.Enabled = Settings.FairShares;
+  Shares.RankFloor = Settings.RankFloor;
+  Shares.OrganisationFloor = Settings.OrganisationFloor;
+  return Shares;
+}
+
 FlowSettings flowSettings(const ServingSettings &Settings) {
   FlowSettings Flow;
   Flow.Zone = Settings.Zone;
+  Flow.Shares = shareSettings(Settings);
   return Flow;
 }
 
@@ -472,6 +481,7 @@
       Report.Loads[Key] = Own;
   }
   Report.Demands = Flows.requestRates();
+  Report.Work = claimedWork(Flows.shares(), Now, Metrics);
   Report.BreakOffs = Crashes.Recent;
   if (Now - Peers.contactGainedAt() <= BreakOffSharing)
     addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
@@ -570,6 +580,7 @@
 void ServingEntry::refreshLoad() {
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
+  setWorkOfOthers(Flows.shares(), Peers.workOfOtherEntries());
   TimePoint Now = Timers.now();
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
@@ -715,6 +726,10 @@
   Settings.Drain = Changed.Drain;
   Settings.MemoryLimitMb = Changed.MemoryLimitMb;
   Settings.HeldShare = Changed.HeldShare;
+  Settings.FairShares = Changed.FairShares;
+  Settings.RankFloor = Changed.RankFloor;
+  Settings.OrganisationFloor = Changed.OrganisationFloor;
+  Flows.shares().Settings = shareSettings(Settings);
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
 }
 
--- a/lib/Serving/ServingMetrics.cpp
+++ b/lib/Serving/ServingMetrics.cpp
@@ -5,6 +5,14 @@
 
 namespace samphirehill::serving {
 
+std::string_view boundedLabel(LabelBound &Bound, std::string_view Value) {
+  if (auto Found = Bound.Known.find(Value); Found != Bound.Known.end())
+    return *Found;
+  if (Bound.Known.size() >= Bound.MaxValues)
+    return "other";
+  return *Bound.Known.emplace(Value).first;
+}
+
 void ServingMetrics::count(std::string_view Name, std::string_view Label,
                            std::string_view Value, std::uint64_t Amount) {
   Counters[fmt::format("samphirehill_{}_total{{{}=\"{}\"}}", Name, Label,
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -34,12 +34,24 @@
 
 // Returns a key that sorts requests in the order in which they are served.
 auto serviceOrder(const WaitingRequest &Request, TimePoint Now) {
-  return std::tuple(Request.Priority, Request.StartBy < Now, Request.StartBy,
-                    Request.Number);
+  return std::tuple(Request.BeyondShare, Request.Priority,
+                    Request.StartBy < Now, Request.StartBy, Request.Number);
 }
 
 } // namespace
 
+const char *toString(PlacementFailure Reason) {
+  switch (Reason) {
+  case PlacementFailure::Absent:
+    return "absent";
+  case PlacementFailure::Full:
+    return "full";
+  case PlacementFailure::Quiet:
+    return "quiet";
+  }
+  return "unknown";
+}
+
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
                  Duration TimeLeft) {
   double Fraction = Reason == PlacementFailure::Absent
@@ -77,6 +89,17 @@
   Rate.UpdatedAt = Now;
 }
 
+double demandShare(const std::map<ServiceModel, EventRate> &Here,
+                   const std::map<ServiceModel, double> &Elsewhere,
+                   const ServiceModel &Kind, TimePoint Now) {
+  auto Own = Here.find(Kind);
+  auto Others = Elsewhere.find(Kind);
+  if (Own == Here.end() || Others == Elsewhere.end())
+    return 1.0;
+  double Rate = rateAt(Own->second, Now);
+  return Rate / std::max(Rate + Others->second, 1e-9);
+}
+
 std::size_t maxQueueLength(const WaitLimits &Limits, const EventRate &Rate,
                            TimePoint Now) {
   double Sent = rateAt(Rate, Now) * toSeconds(Limits.QueueTime);
--- a/test/Config/ServingSettingsTest.cpp
+++ b/test/Config/ServingSettingsTest.cpp
@@ -54,6 +54,20 @@
     EXPECT_EQ(Limit(Valid, Invalid), 0U) << Invalid;
 }
 
+TEST(ServingSettingsTest, ReadsShares) {
+  Outcome<ServingSettings> Default = parse(Valid);
+  ASSERT_FALSE(errorOf(Default)) << errorOf(Default)->Message;
+  EXPECT_TRUE(std::get<0>(Default).FairShares);
+  Outcome<ServingSettings> Read =
+      parse(Valid + "[shares]\nenabled = false\nrank_floor = 0.02\n"
+                    "organisation_floor = 0.5\n");
+  ASSERT_FALSE(errorOf(Read)) << errorOf(Read)->Message;
+  EXPECT_FALSE(std::get<0>(Read).FairShares);
+  EXPECT_EQ(std::get<0>(Read).RankFloor, 0.02);
+  EXPECT_EQ(std::get<0>(Read).OrganisationFloor, 0.5);
+  EXPECT_TRUE(errorOf(parse(Valid + "[shares]\nrank_floor = 0.5\n")));
+}
+
 TEST(ServingSettingsTest, NamesEveryProblem) {
   std::string Broken = Valid;
   Broken.replace(Broken.find("10.1.0.40:8227"), 14, "edge-1.example");
--- a/test/Serving/ConfigurationTest.cpp
+++ b/test/Serving/ConfigurationTest.cpp
@@ -14,6 +14,18 @@
   EXPECT_EQ(pickService(Route{}, 0.5), nullptr);
 }
 
+TEST(ConfigurationTest, PrefersThePriorityOfTheOrganisation) {
+  Route Tested;
+  Tested.Priority = 3;
+  Organisation Caller;
+  EXPECT_EQ(priorityOf(Tested, nullptr), 3);
+  EXPECT_EQ(priorityOf(Tested, &Caller), 3);
+  Caller.Priority = 1;
+  EXPECT_EQ(priorityOf(Tested, &Caller), 1);
+  Caller.Priority = 12;
+  EXPECT_EQ(priorityOf(Tested, &Caller), 9);
+}
+
 TEST(ConfigurationTest, AllowsRepeatsForSafeAndResumableRoutesOnly) {
   Route Tested;
   Tested.Kind = RequestKind::Safe;
--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -14,6 +14,7 @@
 
 const UpstreamKey Group{InstanceId("i-1"), 1};
 const ServiceModel Requested{ServiceId("pool"), "large"};
+const ClaimKey Claim{1, OrganisationId("o-1")};
 
 // Entries whose messages arrive without delay. Each runs one request at Group.
 class PeerSimulation {
@@ -47,6 +48,7 @@
         Own.Sequence = ++Sequence;
         Own.Loads[Group] = {1, 10};
         Own.Demands[Requested] = 2.0;
+        Own.Work[Requested][Claim] = {1, 2, 0.5};
         Own.ListRevision = 1;
         if (Denying.contains(Name))
           Own.Denials[Group.Instance] = 1;
@@ -72,6 +74,12 @@
     return Found == Loads.end() ? 0 : Found->second.Running;
   }
 
+  // Returns the work of Claim that Entry knows of at the others.
+  ClaimedWork workSeenBy(const EntryId &Entry) const {
+    auto Work = workOfOtherEntries(Tables.at(Entry), Now);
+    return Work.contains(Requested) ? Work.at(Requested)[Claim] : ClaimedWork{};
+  }
+
   // Stops the entries that send the most messages: the relays.
   void stopBusiest(int Count) {
     for (int Done = 0; Done < Count; ++Done) {
@@ -109,6 +117,40 @@
   }
 }
 
+TEST(PeerTableTest, SumsWorkOfOrganisationsAtAllOtherEntries) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(6);
+    int Others = 3 * EntriesPerZone - 1;
+    for (const auto &[Entry, Table] : Simulation.Tables)
+      ASSERT_EQ(Simulation.workSeenBy(Entry),
+                (ClaimedWork{Others, 2 * Others, 0.5 * Others}))
+          << Entry.str();
+  }
+}
+
+TEST(PeerTableTest, DropsWorkOfALostEntryAndOfALostZone) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(12);
+    EntryId At("z0-1");
+    Simulation.Stopped.insert(EntryId("z0-2"));
+    Simulation.run(15);
+    EXPECT_EQ(Simulation.workSeenBy(At).Held, 3 * EntriesPerZone - 2);
+    for (const auto &[Entry, Table] : Simulation.Tables) {
+      if (Table.Zone == ZoneId("z2"))
+        Simulation.Stopped.insert(Entry);
+    }
+    Simulation.run(15);
+    EXPECT_EQ(Simulation.workSeenBy(At).Held, 2 * EntriesPerZone - 2);
+  }
+}
+
+TEST(PeerTableTest, KnowsNoWorkBeforeTheFirstReport) {
+  PeerSimulation Simulation(3, 30);
+  EXPECT_EQ(Simulation.workSeenBy(EntryId("z0-1")), ClaimedWork{});
+}
+
 TEST(PeerTableTest, LimitsMessagesPerEntryWhenRelaysAreUsed) {
   PeerSimulation Simulation(3, 30);
   Simulation.run(10);
@@ -243,8 +285,11 @@
     if (!Simulation.Stopped.erase(Entry) && Simulation.Stopped.size() < 20)
       Simulation.Stopped.insert(Entry);
     Simulation.run(*rc::gen::inRange(1, 6));
-    for (const auto &[Each, Table] : Simulation.Tables)
+    for (const auto &[Each, Table] : Simulation.Tables) {
       RC_ASSERT(Simulation.loadSeenBy(Each) <= 23);
+      RC_ASSERT(Simulation.workSeenBy(Each).Held <= 23);
+      RC_ASSERT(Simulation.workSeenBy(Each).Waiting <= 46);
+    }
   }
 }
 
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -908,6 +908,34 @@
   EXPECT_TRUE(awaitAnswer("data: x"));
 }
 
+// The last free place goes to an organisation that waits at another entry.
+TEST_F(RequestFlowTest, LeavesAPlaceToOrganisationsThatWaitElsewhere) {
+  ScriptedServer &Engine =
+      addEngine(PoolService, [](ScriptedConnection &To, int) {
+        To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+      });
+  Book.Upstreams.begin()->second.PeerLoad.Running = 3; // of 4 slots
+  ServiceModel Kind{PoolService, "large"};
+  setWorkOfOthers(Flows.shares(),
+                  {{Kind,
+                    {{{5, OrganisationId()}, {3, 4, 7.0}},
+                     {{5, OrganisationId("small")}, {0, 2, 2.0}}}}});
+  send("/stream/");
+  runUntil(Context, [&] { return Flows.activeCount() == 1; });
+  Flows.dispatchWaiting();
+  EXPECT_EQ(Engine.requests(), 0);
+  WorkByClaim Own = claimedWork(Flows.shares(), Timers.now(), Metrics)[Kind];
+  EXPECT_EQ(Own[(ClaimKey{5, OrganisationId()})].Waiting, 1);
+  EXPECT_NE(Metrics.text().find("samphirehill_organisation_held_back_total"
+                                "{organisation=\"anonymous\"} 1"),
+            std::string::npos);
+  setWorkOfOthers(Flows.shares(), {});
+  Flows.dispatchWaiting();
+  EXPECT_TRUE(awaitAnswer("data: x"));
+  Own = claimedWork(Flows.shares(), Timers.now(), Metrics)[Kind];
+  EXPECT_EQ(Own[(ClaimKey{5, OrganisationId()})].Waiting, 0);
+}
+
 TEST_F(RequestFlowTest, RefusesUnknownRouteAndKey) {
   Routes[0].Anonymous = false;
   addEngine(PlainService, [](ScriptedConnection &, int) {});
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -92,6 +92,22 @@
   EXPECT_TRUE(place(Book, Query, Now).Chosen);
 }
 
+// The rest of the entry's share is taken by another organisation.
+TEST_F(UpstreamBookTest, GivesAFreeSlotToAnOrganisationWithinItsShare) {
+  Book.Limits.ReportAge = milliseconds(400);
+  Query.DemandShare = 1.0 / 3;
+  for (auto &[Key, State] : Book.Upstreams) {
+    State.PeerLoad.Running = 14;
+    State.OwnLoad.Running = 8;
+  }
+  EXPECT_FALSE(place(Book, Query, Now).Chosen);
+  Query.WithinShare = true;
+  EXPECT_TRUE(place(Book, Query, Now).Chosen);
+  for (auto &[Key, State] : Book.Upstreams)
+    State.OwnLoad.Running = 12;
+  EXPECT_FALSE(place(Book, Query, Now).Chosen); // all slots are taken
+}
+
 // Without peers the loads are exact, so every slot that seems free is free.
 TEST_F(UpstreamBookTest, FillsAllFreeSlotsWhenThereAreNoPeers) {
   for (auto &[Key, State] : Book.Upstreams)
--- a/test/Serving/WaitPolicyTest.cpp
+++ b/test/Serving/WaitPolicyTest.cpp
@@ -27,6 +27,18 @@
   EXPECT_EQ(Order, (std::vector<std::uint64_t>{4, 3, 2, 1}));
 }
 
+// An organisation that has its share waits behind the others, whatever its
+// priority, and is refused before them.
+TEST(WaitPolicyTest, ServesRequestsWithinTheirShareFirst) {
+  TimePoint Now{seconds(10)};
+  TimePoint StartBy = Now + milliseconds(100);
+  std::vector<WaitingRequest> Waiting{{1, 0, StartBy, false, true},
+                                      {2, 0, StartBy, false, false},
+                                      {3, 2, StartBy, false, false}};
+  EXPECT_EQ(nextToServe(Waiting, Now), 1u);
+  EXPECT_EQ(firstToRefuse(Waiting, Now), 0u);
+}
+
 // Result of simulateOverload: for 20 s one model receives twice the requests
 // that its groups have places for. Time advances in steps of 10 ms; a place
 // becomes free every 100 ms.
