--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -59,7 +59,7 @@
   // them.
   std::map<ServiceModel, double> Demands;
   // Work of organisations, by the kind of place.
-  std::map<ServiceModel, WorkByClaim> Work;
+  std::map<ServiceModel, WorkByClaim> ClaimedPlaces;
   SuspectReport Suspects;
 
   bool operator==(const EntryReport &) const = default;
--- a/include/samphirehill/Serving/PeerTable.h
+++ b/include/samphirehill/Serving/PeerTable.h
@@ -87,7 +87,7 @@
     std::uint64_t Sequence = 0;
     std::map<UpstreamKey, UpstreamLoad> Loads;
     std::map<ServiceModel, double> Demands;
-    std::map<ServiceModel, WorkByClaim> Work;
+    std::map<ServiceModel, WorkByClaim> ClaimedPlaces;
   };
   std::deque<SentReport> SentReports; // the oldest first
   // The most other entries that were heard at one time, and when that was last
@@ -137,7 +137,7 @@
 
 // Returns the work of organisations at the other entries, by their recent
 // reports.
-std::map<ServiceModel, WorkByClaim> workOfOtherEntries(const PeerTable &Table,
+std::map<ServiceModel, WorkByClaim> claimsOfOtherEntries(const PeerTable &Table,
                                                        TimePoint Now);
 
 // Returns since when reports of entries of Zone have arrived without a gap,
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -200,7 +200,7 @@
     Added.set_model(Kind.Model);
     Added.set_per_second(PerSecond);
   }
-  encode(Report.Work, State);
+  encode(Report.ClaimedPlaces, State);
   encode(Report.Suspects, Now, State);
 }
 
@@ -244,7 +244,7 @@
   for (const wire::Demand &Each : State.demands())
     Report.Demands[{ServiceId(Each.service()), Each.model()}] =
         Each.per_second();
-  Report.Work = decodeWork(State);
+  Report.ClaimedPlaces = decodeWork(State);
   Report.Suspects = decodeSuspects(State, Now);
   return Report;
 }
@@ -279,8 +279,8 @@
     Sum.Loads[Key] += Load;
   for (const auto &[Kind, PerSecond] : Report.Demands)
     Sum.Demands[Kind] += PerSecond;
-  for (const auto &[Kind, Claims] : Report.Work)
-    addWork(Sum.Work[Kind], Claims);
+  for (const auto &[Kind, Claims] : Report.ClaimedPlaces)
+    addWork(Sum.ClaimedPlaces[Kind], Claims);
   addBreakOffs(Sum.BreakOffs, Report.BreakOffs);
   addToReport(Sum.Suspects, Report.Suspects);
   Sum.Reached.insert(Report.Reached.begin(), Report.Reached.end());
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -171,8 +171,8 @@
   return serving::demandOfOtherEntries(Table, Timers.now());
 }
 
-std::map<ServiceModel, WorkByClaim> PeerGossip::workOfOtherEntries() const {
-  return serving::workOfOtherEntries(Table, Timers.now());
+std::map<ServiceModel, WorkByClaim> PeerGossip::claimsOfOtherEntries() const {
+  return serving::claimsOfOtherEntries(Table, Timers.now());
 }
 
 std::optional<TimePoint>
--- a/lib/Serving/PeerTable.cpp
+++ b/lib/Serving/PeerTable.cpp
@@ -281,8 +281,8 @@
       Sum.Loads[Key] -= Load;
     for (const auto &[Kind, PerSecond] : Each.Demands)
       Sum.Demands[Kind] = std::max(Sum.Demands[Kind] - PerSecond, 0.0);
-    for (const auto &[Kind, Claims] : Each.Work)
-      subtractWork(Sum.Work[Kind], Claims);
+    for (const auto &[Kind, Claims] : Each.ClaimedPlaces)
+      subtractWork(Sum.ClaimedPlaces[Kind], Claims);
   }
   return Sum;
 }
@@ -344,7 +344,7 @@
   noteHeard(Table, Now);
   if (!usesRelays(Table))
     return planDirect(Table, Own);
-  Table.SentReports.push_back({Own.Sequence, Own.Loads, Own.Demands, Own.Work});
+  Table.SentReports.push_back({Own.Sequence, Own.Loads, Own.Demands, Own.ClaimedPlaces});
   if (Table.SentReports.size() > MaxSentReports)
     Table.SentReports.pop_front();
   std::vector<PlannedMessage> Plan;
@@ -432,9 +432,9 @@
   return sumOfOtherEntries(Table, Now).Demands;
 }
 
-std::map<ServiceModel, WorkByClaim> workOfOtherEntries(const PeerTable &Table,
+std::map<ServiceModel, WorkByClaim> claimsOfOtherEntries(const PeerTable &Table,
                                                        TimePoint Now) {
-  return sumOfOtherEntries(Table, Now).Work;
+  return sumOfOtherEntries(Table, Now).ClaimedPlaces;
 }
 
 std::optional<TimePoint> zoneContactSince(const PeerTable &Table,
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -481,7 +481,7 @@
       Report.Loads[Key] = Own;
   }
   Report.Demands = Flows.requestRates();
-  Report.Work = claimedWork(Flows.shares(), Now, Metrics);
+  Report.ClaimedPlaces = claimedWork(Flows.shares(), Now, Metrics);
   Report.BreakOffs = Crashes.Recent;
   if (Now - Peers.contactGainedAt() <= BreakOffSharing)
     addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
@@ -580,7 +580,7 @@
 void ServingEntry::refreshLoad() {
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
-  setWorkOfOthers(Flows.shares(), Peers.workOfOtherEntries());
+  setWorkOfOthers(Flows.shares(), Peers.claimsOfOtherEntries());
   TimePoint Now = Timers.now();
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -40,7 +40,7 @@
                      {{4, TimePoint{seconds(7)}}},
                      {{5, 2, TimePoint{seconds(6)}}}};
   Report.Demands = {{{PoolService, "large"}, 12.5}, {{PlainService, ""}, 1}};
-  Report.Work[{PoolService, "large"}] = {
+  Report.ClaimedPlaces[{PoolService, "large"}] = {
       {{0, OrganisationId("o-1")}, {3, 1, 4.5}},
       {{2, OrganisationId()}, {1, 0, 0.25, 7}}};
   return Report;
@@ -67,10 +67,10 @@
   Other.Loads[{InstanceId("i-1"), 100'001}] = {2, 500};
   Other.DutyTerm = 1;
   Other.DutyRenewal = 99;
-  Other.Work[{PoolService, "large"}] = {
+  Other.ClaimedPlaces[{PoolService, "large"}] = {
       {{0, OrganisationId("o-1")}, {2, 2, 0.5}}};
   addToSummary(Sum, Other);
-  EXPECT_EQ(Sum.Work.at({PoolService, "large"}).at({0, OrganisationId("o-1")}),
+  EXPECT_EQ(Sum.ClaimedPlaces.at({PoolService, "large"}).at({0, OrganisationId("o-1")}),
             (ClaimedWork{5, 3, 5.0}));
   EXPECT_EQ(Sum.Loads.at({InstanceId("i-1"), 100'001}),
             (UpstreamLoad{5, 4'500, 1, 2}));
--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -48,7 +48,7 @@
         Own.Sequence = ++Sequence;
         Own.Loads[Group] = {1, 10};
         Own.Demands[Requested] = 2.0;
-        Own.Work[Requested][Claim] = {1, 2, 0.5};
+        Own.ClaimedPlaces[Requested][Claim] = {1, 2, 0.5};
         Own.ListRevision = 1;
         if (Denying.contains(Name))
           Own.Denials[Group.Instance] = 1;
@@ -76,7 +76,7 @@
 
   // Returns the work of Claim that Entry knows of at the others.
   ClaimedWork workSeenBy(const EntryId &Entry) const {
-    auto Work = workOfOtherEntries(Tables.at(Entry), Now);
+    auto Work = claimsOfOtherEntries(Tables.at(Entry), Now);
     return Work.contains(Requested) ? Work.at(Requested)[Claim] : ClaimedWork{};
   }
 
