--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -6,6 +6,7 @@
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Groups/DemandPlan.h"
+#include "samphirehill/Limits/FairShare.h"
 #include "samphirehill/Limits/PartSuspects.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
@@ -59,6 +60,8 @@
   // them.
   std::map<ServiceModel, double> Demands;
   WorkAsked Work;
+  // Work of organisations, by the kind of place.
+  std::map<ServiceModel, WorkByClaim> ClaimedPlaces;
   SuspectReport Suspects;
 
   bool operator==(const EntryReport &) const = default;
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -70,6 +70,7 @@
   std::map<UpstreamKey, UpstreamLoad> loadOfOtherEntries() const;
   std::map<ServiceModel, double> demandOfOtherEntries() const;
   WorkAsked workOfOtherEntries() const;
+  std::map<ServiceModel, WorkByClaim> claimsOfOtherEntries() const;
   std::optional<TimePoint> zoneContactSince(const ZoneId &Zone) const;
   ReachCensus takeCensus() const;
   std::set<UpstreamKey> stalledForOtherEntries() const;
--- a/lib/Serving/PeerGossip.cpp
+++ b/lib/Serving/PeerGossip.cpp
@@ -175,6 +175,10 @@
   return serving::workOfOtherEntries(Table, Timers.now());
 }
 
+std::map<ServiceModel, WorkByClaim> PeerGossip::claimsOfOtherEntries() const {
+  return serving::claimsOfOtherEntries(Table, Timers.now());
+}
+
 std::optional<TimePoint>
 PeerGossip::zoneContactSince(const ZoneId &Zone) const {
   return serving::zoneContactSince(Table, Zone, Timers.now());
--- a/lib/Serving/PeerTable.cpp
+++ b/lib/Serving/PeerTable.cpp
@@ -283,6 +283,8 @@
       Sum.Demands[Kind] = std::max(Sum.Demands[Kind] - PerSecond, 0.0);
     for (const auto &[Kind, Places] : Each.Work)
       Sum.Work[Kind] = std::max(Sum.Work[Kind] - Places, 0.0);
+    for (const auto &[Kind, Claims] : Each.ClaimedPlaces)
+      subtractWork(Sum.ClaimedPlaces[Kind], Claims);
   }
   return Sum;
 }
@@ -344,7 +346,8 @@
   noteHeard(Table, Now);
   if (!usesRelays(Table))
     return planDirect(Table, Own);
-  Table.SentReports.push_back({Own.Sequence, Own.Loads, Own.Demands, Own.Work});
+  Table.SentReports.push_back(
+      {Own.Sequence, Own.Loads, Own.Demands, Own.Work, Own.ClaimedPlaces});
   if (Table.SentReports.size() > MaxSentReports)
     Table.SentReports.pop_front();
   std::vector<PlannedMessage> Plan;
@@ -436,6 +439,11 @@
   return sumOfOtherEntries(Table, Now).Work;
 }
 
+std::map<ServiceModel, WorkByClaim> claimsOfOtherEntries(const PeerTable &Table,
+                                                         TimePoint Now) {
+  return sumOfOtherEntries(Table, Now).ClaimedPlaces;
+}
+
 std::optional<TimePoint> zoneContactSince(const PeerTable &Table,
                                           const ZoneId &Zone, TimePoint Now) {
   std::optional<TimePoint> Since;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -113,9 +113,18 @@
           Entries};
 }
 
+ShareSettings shareSettings(const ServingSettings &Settings) {
+  ShareSettings Shares;
+  Shares.Enabled = Settings.FairShares;
+  Shares.RankFloor = Settings.RankFloor;
+  Shares.OrganisationFloor = Settings.OrganisationFloor;
+  return Shares;
+}
+
 FlowSettings flowSettings(const ServingSettings &Settings) {
   FlowSettings Flow;
   Flow.Zone = Settings.Zone;
+  Flow.Shares = shareSettings(Settings);
   return Flow;
 }
 
@@ -474,6 +483,7 @@
   }
   Report.Demands = Flows.requestRates();
   Report.Work = workAsked(Flows.workRates(), Settings.Zone, Now);
+  Report.ClaimedPlaces = claimedWork(Flows.shares(), Now, Metrics);
   Report.BreakOffs = Crashes.Recent;
   if (Now - Peers.contactGainedAt() <= BreakOffSharing)
     addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
@@ -572,6 +582,7 @@
 void ServingEntry::refreshLoad() {
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
+  setWorkOfOthers(Flows.shares(), Peers.claimsOfOtherEntries());
   TimePoint Now = Timers.now();
   Groups.noteWork(Peers.workOfOtherEntries(),
                   workAsked(Flows.workRates(), Settings.Zone, Now));
@@ -719,6 +730,10 @@
   Settings.Drain = Changed.Drain;
   Settings.MemoryLimitMb = Changed.MemoryLimitMb;
   Settings.HeldShare = Changed.HeldShare;
+  Settings.FairShares = Changed.FairShares;
+  Settings.RankFloor = Changed.RankFloor;
+  Settings.OrganisationFloor = Changed.OrganisationFloor;
+  Flows.shares().Settings = shareSettings(Settings);
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
 }
 
