--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -377,6 +377,28 @@
   }
 }
 
+// No more loads begin than the store's ceiling allows, whatever callers ask
+// for.
+RC_GTEST_PROP(GroupPlanTest, StaysWithinLoadLimitsWhileDemandChanges, ()) {
+  GroupWorld World(4, 8);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  const EngineShape Shape = *poolShape().Engine;
+  for (int Step = 0; Step < 30; ++Step) {
+    State.Exchanges.Asked = {{"large", *rc::gen::inRange(0, 400)},
+                             {"small", *rc::gen::inRange(0, 400)}};
+    if (*rc::gen::inRange(0, 4) == 0 && World.alive().size() > 20)
+      World.kill(*World.someMember(*rc::gen::inRange<std::size_t>(0, 1'000)));
+    for (int Second = 0; Second < 3; ++Second) {
+      TimePoint Start = World.Now;
+      run(World, State, 5);
+      RC_ASSERT(World.loadsSince(Start) <=
+                static_cast<std::size_t>(Shape.LoadsPerSecond));
+    }
+  }
+  RC_ASSERT(World.Broken == std::vector<std::string>());
+}
+
 // No engine joins a group while the head of its old group serves, and no
 // incomplete group opens.
 RC_GTEST_PROP(GroupPlanTest,
@@ -439,6 +461,22 @@
   EXPECT_EQ(World.Orders, Orders);
 }
 
+// A zone is emptied while engines move, and taken back.
+TEST(GroupPlanTest, FollowsDemandWhileAZoneIsOut) {
+  GroupWorld World(6, 8);
+  GroupPlanState State;
+  run(World, State, 200, true);
+  State.Exchanges.Asked = MostlySmall;
+  run(World, State, 15);
+  World.takeOut(ZoneId("zone0"));
+  run(World, State, 100);
+  World.takeBack(ZoneId("zone0"));
+  run(World, State, 200);
+  EXPECT_GE(World.openGroups("large"), 3);
+  EXPECT_GE(World.openGroups("small"), 14);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
 // The holder of the duty ends after it has closed a group. The next holder
 // knows nothing of the change.
 TEST(GroupPlanTest, LosesNoGroupWhenTheHolderEndsDuringAChange) {
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -41,6 +41,7 @@
     } else if (Each.Dead && Now - Each.DiedAt > ProbeDetection) {
       Seen.State = Liveness::Unclear;
     }
+    Seen.ZoneOut = ZonesOut.contains(Each.Actual.Zone);
     Seen.AcceptedFence = Each.AnsweredFence;
     Seen.LeftEpoch = Each.AnsweredLeave;
     Planned.push_back(std::move(Seen));
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   // changes, until thawListings is called.
   void freezeListing(const InstanceId &Id);
   void thawListings() { Frozen.clear(); }
+  // Takes the zone of the engines out of service, or back.
+  void takeOut(const ZoneId &Zone) { ZonesOut.insert(Zone); }
+  void takeBack(const ZoneId &Zone) { ZonesOut.erase(Zone); }
   // Draining engines take no new work.
   void drain(const InstanceId &Id);
   // Makes orders take effect after Delay, without an answer to the planning.
@@ -80,6 +84,7 @@
 
   std::map<InstanceId, Engine> Engines;
   std::map<InstanceId, Instance> Frozen;
+  std::set<ZoneId> ZonesOut;
   std::vector<DelayedOrder> Pending;
   std::vector<TimePoint> LoadStarts;
   Duration OrderDelay{};
