--- a/test/Serving/GroupExchangeTest.cpp
+++ b/test/Serving/GroupExchangeTest.cpp
@@ -46,6 +46,17 @@
     Running.push_back(Group);
   }
 
+  // Adds groups so that two of "small" can be given up for one of "large".
+  void addMoreSmallGroups() {
+    for (const std::string Name :
+         {"zone0-d0", "zone0-d1", "zone1-d2", "zone1-d3"}) {
+      addGroup(Name, "small", 2, {});
+      addGroup(Name, "small", 2, {});
+    }
+    for (PlannedInstance &Each : Engines)
+      Each.Listed.Staged = {"large", "small"};
+  }
+
   // Plans each tick for Length under the demand Asked. Groups that are given up
   // stay as they are.
   void plan(Duration Length, const ModelWork &Asked) {
@@ -143,11 +154,23 @@
   EXPECT_TRUE(State.GivenUp.empty());
 }
 
+TEST_F(GroupExchangeTest, MovesEnginesBackOnlyAfterTheRest) {
+  addMoreSmallGroups();
+  const ModelWork MostlyLarge{{"large", 300}, {"small", 5}};
+  const std::pair<std::string, std::string> Back{"small", "large"};
+  plan(seconds(3), {{"large", 10}, {"small", 400}});
+  ASSERT_EQ(State.MovedAt.size(), 1u);
+  TimePoint MovedAt = State.MovedAt.begin()->second;
+  plan(MovedAt + Settings.Rest - Now, MostlyLarge);
+  EXPECT_FALSE(State.MovedAt.contains(Back));
+  plan(seconds(2), MostlyLarge);
+  EXPECT_TRUE(State.MovedAt.contains(Back));
+}
+
 // The demand turns while engines move. None moves back before the first change
 // has paid.
 RC_GTEST_FIXTURE_PROP(GroupExchangeTest, MovesNothingBackWithinTheRest, ()) {
-  for (PlannedInstance &Each : Engines)
-    Each.Listed.Staged = {"large", "small"};
+  addMoreSmallGroups();
   Settings.MaxInChange = 1;
   std::optional<std::pair<std::string, std::string>> Last;
   TimePoint LastAt{};
