Count groups that form again without a load before giving others up

The supply counted running groups and whole broken ones only. It now counts the groups that the quota plans and for which the engines need no load.

The log line of an exchange gives the age of the demand, and a metric the demand by zone and model. New test: CountsGroupsThatFormAgainWithoutALoad (a mutant that leaves them out fails it).

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -166,7 +166,7 @@
   void publishModels(const std::map<std::string, ModelSummary> &Before,
                      const std::map<std::string, ModelSummary> &Models);
   // Logs the groups that are given up, and sets the metrics of the demand.
-  void publishDemand(const ExchangeState &Exchanges);
+  void publishDemand(const ServiceId &Service, const ExchangeState &Exchanges);
   // Probes the members of stalled groups, and unlisted instances.
   void probeSuspects();
   void probeMembers(const std::set<UpstreamKey> &Stalled);
--- a/include/samphirehill/Serving/GroupExchange.h
+++ b/include/samphirehill/Serving/GroupExchange.h
@@ -35,7 +35,6 @@
   std::string From;
   std::string To;
   int Engines = 0;
-  int Gained = 0; // groups of To; 0 for all but one group of an exchange
   TimePoint At{};
 };
 
@@ -63,8 +62,6 @@
   const EngineDomains &Domains;
   const std::vector<RunningGroup> &Running;
   const ServiceShape &Service;
-  std::map<std::string, int> Ending;  // engines of groups that end, by model
-  std::map<std::string, int> Forming; // groups that form, by model
   bool FirstStart = false;
 };
 
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -338,7 +338,7 @@
          planGroups(State, plannedInstances(Id), Service, First, Now))
       sendOrder(Order);
     publishModels(Before, State.Models);
-    publishDemand(State.Exchanges);
+    publishDemand(Id, State.Exchanges);
   }
 }
 
@@ -363,7 +363,14 @@
   }
 }
 
-void GroupController::publishDemand(const ExchangeState &Exchanges) {
+void GroupController::publishDemand(const ServiceId &Service,
+                                    const ExchangeState &Exchanges) {
+  for (const auto &[Kind, Asked] : Work) {
+    if (Kind.Service == Service)
+      Metrics.set("zone_demand_places",
+                  {{"model", Kind.Model}, {"zone", Kind.Zone.str()}},
+                  Asked.Places);
+  }
   for (const ModelSupply &Each : Exchanges.Supplies) {
     Metrics.set("model_demand_places", {{"model", Each.Model}}, Each.Work);
     Metrics.set("model_places", {{"model", Each.Model}},
@@ -374,11 +381,12 @@
     for (const ModelSupply &Each : Exchanges.Supplies) {
       if (Each.Model != Begun.From && Each.Model != Begun.To)
         continue;
-      spdlog::info("event=groups_given_up domain={} from={} to={} given_up={} "
-                   "gained={} model={} groups={} places={} demand={:.0f}",
-                   Begun.Domain, Begun.From, Begun.To, Begun.GivenUp,
-                   Begun.Gained, Each.Model, Each.Groups,
-                   Each.Groups * Each.Slots, Each.Work);
+      spdlog::info(
+          "event=groups_given_up domain={} from={} to={} given_up={} gained={} "
+          "model={} groups={} places={} demand={:.0f} demand_age_ms={}",
+          Begun.Domain, Begun.From, Begun.To, Begun.GivenUp, Begun.Gained,
+          Each.Model, Each.Groups, Each.Groups * Each.Slots, Each.Work,
+          toMilliseconds(Timers.now() - Exchanges.Demand.LastAt));
     }
   }
 }
--- a/lib/Serving/GroupExchange.cpp
+++ b/lib/Serving/GroupExchange.cpp
@@ -18,29 +18,32 @@
       [&](const auto *Each) { return hasWeights(*Each, Model); });
 }
 
-std::vector<ModelSupply> suppliesOf(const ExchangeState &State,
-                                    const ExchangeView &View,
+// Returns the groups of the model that serve or form, and those that the
+// engines of broken groups and of groups that are given up form again without a
+// load.
+int groupsWithoutLoad(const EngineDomains &Domains, const ModelShape &Model) {
+  int Groups = 0;
+  for (const auto &[Name, Domain] : Domains) {
+    auto Found = Domain.Models.find(Model.Name);
+    if (Found == Domain.Models.end())
+      continue;
+    const DomainModel &Has = Found->second;
+    int Coming = std::min(Has.WantedGroups - Has.Groups,
+                          Has.Available / std::max(Model.GroupSize, 1));
+    Groups += Has.Groups + std::max(Coming, 0);
+  }
+  return Groups;
+}
+
+std::vector<ModelSupply> suppliesOf(const ExchangeView &View,
                                     const ModelWork &Work) {
   std::vector<ModelSupply> Supplies;
   for (const ModelShape &Model : View.Service.Engine->Models) {
-    ModelSupply Each{
-        Model.Name, Model.GroupSize, View.Service.Engine->Slots, Model.Share, 0,
-        0,          Model.WarmStart};
     auto Asked = Work.find(Model.Name);
-    Each.Work = Asked == Work.end() ? 0 : Asked->second;
-    for (const RunningGroup &Group : View.Running)
-      Each.Groups += Group.Model == Model.Name;
-    auto Forming = View.Forming.find(Model.Name);
-    Each.Groups += Forming == View.Forming.end() ? 0 : Forming->second;
-    // The engines of a group that ended by a fault form groups again.
-    auto Ending = View.Ending.find(Model.Name);
-    int Returning = Ending == View.Ending.end() ? 0 : Ending->second;
-    for (const auto &[Epoch, Group] : State.GivenUp) {
-      Returning -= Group.From == Model.Name ? Group.Engines : 0;
-      Each.Groups += Group.To == Model.Name ? Group.Gained : 0;
-    }
-    Each.Groups += std::max(Returning, 0) / std::max(Model.GroupSize, 1);
-    Supplies.push_back(std::move(Each));
+    Supplies.push_back({Model.Name, Model.GroupSize, View.Service.Engine->Slots,
+                        Model.Share, groupsWithoutLoad(View.Domains, Model),
+                        Asked == Work.end() ? 0 : Asked->second,
+                        Model.WarmStart});
   }
   return Supplies;
 }
@@ -130,9 +133,8 @@
        spareGroups(View, Chosen.Domain, Chosen.From)) {
     if (Left == 0 || !isPrepared(*Each, Chosen.To))
       continue;
-    State.GivenUp[Each->Epoch] = {
-        Chosen.From, Chosen.To, static_cast<int>(Each->Members.size()),
-        Left == Chosen.GivenUp ? Chosen.Gained : 0, Now};
+    State.GivenUp[Each->Epoch] = {Chosen.From, Chosen.To,
+                                  static_cast<int>(Each->Members.size()), Now};
     --Left;
   }
   State.MovedAt[{Chosen.From, Chosen.To}] = Now;
@@ -174,7 +176,7 @@
   for (const auto &[Name, Each] : State.Usable)
     Usable += Each.Count;
   std::optional<ModelWork> Work = plannedDemand(State.Demand, Settings, Now);
-  State.Supplies = suppliesOf(State, View, Work.value_or(ModelWork{}));
+  State.Supplies = suppliesOf(View, Work.value_or(ModelWork{}));
   if (Settings.Mode == ShareMode::Stated || View.FirstStart || !Work)
     return;
   int InChange = 0;
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -641,11 +641,7 @@
   // form groups of one that lacks them, and has the weights for such changes
   // loaded ahead.
   void exchangeGroups() {
-    ExchangeView View{Domains, Running, Service, {}, {}, FirstStart};
-    for (const auto &[Model, Each] : Summaries)
-      View.Ending[Model] = Each.Stranded;
-    for (const auto &[Epoch, Each] : State.Forming)
-      ++View.Forming[Each.Model];
+    ExchangeView View{Domains, Running, Service, FirstStart};
     chooseExchange(State.Exchanges, View, State.Settings.Demand, Now);
     for (const auto &[Engine, Model] :
          weightsToPrepare(State.Exchanges, View, State.Settings.Demand)) {
--- a/test/Serving/GroupExchangeTest.cpp
+++ b/test/Serving/GroupExchangeTest.cpp
@@ -68,9 +68,21 @@
       });
       ServiceShape Service =
           withPlannedShares(poolShape(), State, Settings, Now);
-      ExchangeView View{Domains, Left, Service, {}, {}, false};
+      for (auto &[Name, Domain] : Domains) {
+        for (auto &[Model, Has] : Domain.Models)
+          Has.Groups = Has.WantedGroups = 0;
+      }
+      for (const RunningGroup &Each : Left) {
+        DomainModel &Has = Domains[Each.Domain].Models[Each.Model];
+        Has.WantedGroups = ++Has.Groups;
+      }
+      for (const auto &[Name, Count] : BrokenSmallGroups) {
+        DomainModel &Has = Domains[Name].Models["small"];
+        Has.WantedGroups += Count;
+        Has.Available = Count * 2;
+      }
+      ExchangeView View{Domains, Left, Service, false};
       chooseExchange(State, View, Settings, Now);
-      Moves += State.Begun.size();
     }
   }
 
@@ -80,8 +92,9 @@
   std::deque<PlannedInstance> Engines;
   std::vector<RunningGroup> Running;
   std::int64_t Epoch = 0;
+  // Groups of "small" whose engines are about to form them again, by domain.
+  std::map<std::string, int> BrokenSmallGroups;
   TimePoint Now{seconds(100)};
-  std::size_t Moves = 0;
 };
 
 const ModelWork MostlySmall{{"large", 10}, {"small", 200}};
@@ -91,7 +104,21 @@
   plan(seconds(3), MostlySmall);
   ASSERT_EQ(State.GivenUp.size(), 1u);
   EXPECT_EQ(State.GivenUp.begin()->second.From, "large");
-  EXPECT_EQ(State.GivenUp.begin()->second.Gained, 2);
+  EXPECT_EQ(State.GivenUp.begin()->second.To, "small");
+  EXPECT_EQ(State.GivenUp.begin()->second.Engines, 4);
+}
+
+// Seen on the bench: two groups lost a member, and groups of the other model
+// were given up although the engines of the first formed them again at once.
+TEST_F(GroupExchangeTest, CountsGroupsThatFormAgainWithoutALoad) {
+  const ModelWork Asked{{"large", 20}, {"small", 100}};
+  BrokenSmallGroups = {{"zone0-d0", 2}, {"zone1-d2", 1}};
+  plan(seconds(5), Asked);
+  EXPECT_TRUE(State.GivenUp.empty());
+  BrokenSmallGroups.clear();
+  Domains["zone0-d0"].Models["small"].Available = 0;
+  plan(seconds(5), Asked);
+  EXPECT_FALSE(State.GivenUp.empty());
 }
 
 TEST_F(GroupExchangeTest, KeepsOneGroupOfTheModelInEachZone) {
@@ -194,7 +221,7 @@
   for (PlannedInstance &Each : Engines)
     Each.Listed.Staged = {modelOfGroup(Each.Listed.Group->Group)};
   ServiceShape Service = poolShape();
-  ExchangeView View{Domains, Running, Service, {}, {}, true};
+  ExchangeView View{Domains, Running, Service, true};
   // In each of two zones, a large and a small group.
   EXPECT_EQ(weightsToPrepare(State, View, Settings).size(), 2u * (4 + 2));
   View.FirstStart = false;
