--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -365,11 +365,14 @@
 
 void GroupController::publishDemand(const ServiceId &Service,
                                     const ExchangeState &Exchanges) {
+  Duration Age{}; // of the oldest news that counts
   for (const auto &[Kind, Asked] : Work) {
-    if (Kind.Service == Service)
-      Metrics.set("zone_demand_places",
-                  {{"model", Kind.Model}, {"zone", Kind.Zone.str()}},
-                  Asked.Places);
+    if (Kind.Service != Service)
+      continue;
+    Age = std::max(Age, Timers.now() - Asked.At);
+    Metrics.set("zone_demand_places",
+                {{"model", Kind.Model}, {"zone", Kind.Zone.str()}},
+                Asked.Places);
   }
   for (const ModelSupply &Each : Exchanges.Supplies) {
     Metrics.set("model_demand_places", {{"model", Each.Model}}, Each.Work);
@@ -386,7 +389,7 @@
           "model={} groups={} places={} demand={:.0f} demand_age_ms={}",
           Begun.Domain, Begun.From, Begun.To, Begun.GivenUp, Begun.Gained,
           Each.Model, Each.Groups, Each.Groups * Each.Slots, Each.Work,
-          toMilliseconds(Timers.now() - Exchanges.Demand.LastAt));
+          toMilliseconds(Age));
     }
   }
 }
