--- a/include/samphirehill/Serving/CallerServer.h
+++ b/include/samphirehill/Serving/CallerServer.h
@@ -93,8 +93,9 @@
   // never shortened, since callers may rely on an earlier, longer one.
   void setLimits(const CallerLimits &Limits);
 
-  // Adds "Connection: close" to all answers from now on.
-  void beginClose() { Closing = true; }
+  // Sets whether all answers get "Connection: close" from now on. A request
+  // that is in progress is answered either way.
+  void setClosing(bool Changed) { Closing = Changed; }
   // Stops accepting connections and closes those without a request.
   void closeIdle();
 
--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -6,6 +6,7 @@
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Limits/PartSuspects.h"
+#include "samphirehill/Limits/ServiceReach.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
@@ -58,6 +59,9 @@
   // them.
   std::map<ServiceModel, double> Demands;
   SuspectReport Suspects;
+  // When the sender, or the entries of its zone, reached the zones. Empty in a
+  // summary of several zones.
+  std::map<ZoneId, ZoneEvidence> Reach;
 
   bool operator==(const EntryReport &) const = default;
 };
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -54,6 +54,7 @@
   void sendSoon();
 
   const std::map<EntryId, PeerEntry> &peers() const { return Table.Peers; }
+  const PeerTable &table() const { return Table; }
 
   // Returns when a peer was last heard that has started since, or from which no
   // report had come for a while: it may lack what was sent meanwhile.
--- a/include/samphirehill/Serving/Placement.h
+++ b/include/samphirehill/Serving/Placement.h
@@ -15,13 +15,21 @@
   Absent, // no untried upstream serves the ServiceModel
   Full,   // such upstreams exist, but none may take the request now
   Quiet,  // all upstreams of the ServiceModel have asked for a pause
+  // All upstreams of the ServiceModel are in zones that are cut off.
+  Unreachable,
 };
 
+// Returns the name of Reason in the log.
+const char *toString(PlacementFailure Reason);
+
 struct Placement {
   std::optional<UpstreamKey> Chosen;
   PlacementFailure Reason = PlacementFailure::Absent; // if nothing is chosen
-  int Candidates = 0;     // upstreams of the ServiceModel that aren't leaving
-  TimePoint QuietUntil{}; // Reason is Quiet: when the first pause ends
+  // Upstreams of the ServiceModel that aren't leaving and can be reached.
+  int Candidates = 0;
+  // Reason is Quiet: when the first pause ends. Unreachable: when callers reach
+  // another zone.
+  TimePoint RetryAt{};
 };
 
 // Chooses an upstream that may take a request now. Without peers that is the
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -32,6 +32,10 @@
 
 struct FlowSettings {
   ZoneId Zone; // of this entry
+  // For how long after the start of the process requests may wait for the first
+  // configuration. It arrives within a few round trips, or the platform is
+  // away.
+  Duration MaxConfigurationWait = milliseconds(600);
   WaitLimits Wait;
   // A group is considered stalled when none of its requests has made progress
   // for this long. At full load one engine pass, with one chunk of a prompt
@@ -108,12 +112,14 @@
   std::size_t activeCount() const { return Flows.size(); }
 
   // Returns the rate of callers' requests at this entry, in requests per
-  // second, by kind of place. Engine services only.
+  // second, by kind of place.
   std::map<ServiceModel, double> requestRates() const;
 
 private:
   friend class RequestFlow;
   void sweep();
+  // Begins to handle a request under the configuration in force.
+  void begin(const std::shared_ptr<RequestFlow> &Flow);
   // Refuses one request if too many wait for the places that Newest waits for.
   void refuseExcess(const RequestFlow &Newest);
   // Removes a request that has ended.
@@ -131,12 +137,15 @@
   std::shared_ptr<const Configuration> Config;
   std::unordered_set<std::shared_ptr<RequestFlow>> Flows;
   std::vector<std::shared_ptr<RequestFlow>> Waiting;
+  // Requests that arrived before the first configuration.
+  std::vector<std::shared_ptr<RequestFlow>> Unconfigured;
   // Rate at which requests are sent; only for kinds that had a request sent.
   std::map<ServiceModel, EventRate> SendRates;
-  std::map<ServiceModel, EventRate> ArrivalRates; // engine services only
+  std::map<ServiceModel, EventRate> ArrivalRates;
   std::map<ServiceModel, FirstEventTime> FirstEventTimes;
   std::map<std::string, LongestCallerTimeout> LongestTimeouts; // by route
   std::map<std::string, LongestAnswerTime> AnswerTimes;        // by route
+  TimePoint StartedAt;
   std::optional<TimePoint> StopsAt; // set during a planned stop
   // Engines whose crash is being checked. Shared with the callbacks, which may
   // outlive this object.
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -157,7 +157,12 @@
   void tick(); // periodic work, every TickPeriod
   PlatformSource platformSource() const;
   void updatePlatformSource();
-  bool isReady() const;
+  // Decides anew which zones this entry reaches and whether it takes callers.
+  void updateReadiness();
+  // Finds out whether zones that are cut off can be reached again.
+  void probeCutOffZones();
+  // Returns why this entry isn't ready; empty if it is.
+  std::string unreadyCause() const;
   void answerReadiness(const std::shared_ptr<CallerRequest> &Request);
   void applyRelayReport(const EntryReport &Report);
   // Returns the maximum age of the list while the platform can be reached.
@@ -200,6 +205,8 @@
   ListChanges Changes;
   ListSync Sync;
   std::int64_t ZonesOutRevision = 0;
+  TimePoint ReachProbedAt{};
+  std::string UnreadyCause = "starting"; // as last logged
   PlatformSource Source = PlatformSource::None;
   std::string UnfollowedKinds; // as last logged; empty unless Source is None
   bool PeersListed = false;    // the other entries have been listed once
@@ -213,6 +220,8 @@
   TimerSubscription LoadRefresh;
   TimerSubscription Stopping;
   bool Stopped = false;
+  // Expires with this object, which callbacks may outlive.
+  std::shared_ptr<bool> IsAlive = std::make_shared<bool>(true);
 };
 
 } // namespace samphirehill::serving
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -8,6 +8,8 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/ServiceReach.h"
+#include "samphirehill/Routing/ZoneSpill.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/InstanceNotices.h"
 
@@ -84,6 +86,12 @@
   // Added to the score of an upstream in another zone: the latency between
   // zones, and a little for the cost of traffic between them.
   Duration OtherZonePenalty = milliseconds(6);
+  // An upstream of the own zone is as good for the caller as one elsewhere if
+  // its score is higher by no more than this.
+  Duration OwnZoneTolerance = milliseconds(15);
+  // When work goes to other zones although upstreams of the own zone are as
+  // good.
+  SpillSettings Spill;
   // Added to the score of an upstream that fails all requests; in proportion
   // for one that fails a share of them.
   Duration FailurePenalty = milliseconds(400);
@@ -179,6 +187,14 @@
 Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
                      double Pace);
 
+// Which zones this entry reaches. See Serving/EntryReach.h.
+struct EntryReach {
+  ReachSettings Settings;
+  std::map<ZoneId, ZoneEvidence> Seen; // by this entry
+  std::set<ZoneId> CutOff;             // zones whose upstreams get no requests
+  Readiness Taking;                    // callers
+};
+
 // All upstreams that this entry may use, with their state.
 struct UpstreamBook {
   PlacementLimits Limits;
@@ -189,6 +205,7 @@
   std::map<InstanceLife, TimePoint> Ended;
   // Requests per second that callers send to the peers.
   std::map<ServiceModel, double> PeerDemand;
+  EntryReach Reach;
 };
 
 // Returns whether the upstream bears only little load at Now. PerSecond is the
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -30,6 +30,13 @@
   Unusable, // the answer can't be used; the peer may have run the request
 };
 
+// What became of a connect that served no other purpose.
+enum class ConnectCheck {
+  Accepted,
+  Refused,    // no process listens at the address, but its host answers
+  Unanswered, // in time, or not sent
+};
+
 // Callbacks of one request. Either OnEnd or OnFailure is called last, unless
 // the exchange is cancelled or the pool destroyed.
 struct ExchangeHandlers {
@@ -130,11 +137,9 @@
        std::function<void(Outcome<HttpResponse>)> Done,
        ExchangeOptions Options = {});
 
-  // Connects to Address and closes the connection without a request. Done gets
-  // whether the connection was refused: then no process listens there. False if
-  // it was accepted or not answered.
-  void checkRefuses(const SocketAddress &Address,
-                    std::function<void(bool Refused)> Done);
+  // Connects to Address and closes the connection without a request.
+  void checkConnect(const SocketAddress &Address,
+                    std::function<void(ConnectCheck Seen)> Done);
 
   // Closes the pooled connections to Address.
   void closeIdle(const SocketAddress &Address);
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -51,10 +51,9 @@
 
 // Returns the delay after which a caller that is refused for Reason should
 // retry: when a place is likely to be free, but early enough to be served
-// within TimeLeft. If all upstreams have asked for a pause (quiet), that is the
-// time until the first pause ends, QuietLeft.
-Duration retryAfter(PlacementFailure Reason, Duration TimeLeft,
-                    Duration QuietLeft);
+// within TimeLeft. If all upstreams have asked for a pause or can't be reached,
+// the time is known: Left. See Placement::RetryAt.
+Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left);
 
 // Rate of events, as an exponentially decaying average.
 struct EventRate {
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -115,6 +115,28 @@
   return Report;
 }
 
+void encode(const ZoneId &Zone, const ZoneEvidence &Evidence, TimePoint Now,
+            wire::ZoneReach &Encoded) {
+  Encoded.set_zone(Zone.str());
+  if (Evidence.HeardAt != TimePoint{})
+    Encoded.set_heard_age_ms(ageOf(Evidence.HeardAt, Now));
+  if (Evidence.AnsweredAt != TimePoint{})
+    Encoded.set_answered_age_ms(ageOf(Evidence.AnsweredAt, Now));
+  if (Evidence.FailedAt != TimePoint{})
+    Encoded.set_failed_age_ms(ageOf(Evidence.FailedAt, Now));
+}
+
+ZoneEvidence decode(const wire::ZoneReach &Encoded, TimePoint Now) {
+  ZoneEvidence Evidence;
+  if (Encoded.has_heard_age_ms())
+    Evidence.HeardAt = Now - milliseconds(Encoded.heard_age_ms());
+  if (Encoded.has_answered_age_ms())
+    Evidence.AnsweredAt = Now - milliseconds(Encoded.answered_age_ms());
+  if (Encoded.has_failed_age_ms())
+    Evidence.FailedAt = Now - milliseconds(Encoded.failed_age_ms());
+  return Evidence;
+}
+
 void encode(const EntryReport &Report, TimePoint Now, wire::EntryState &State) {
   State.set_entry(Report.Entry.str());
   State.set_incarnation(Report.Life);
@@ -170,6 +192,8 @@
     Added.set_per_second(PerSecond);
   }
   encode(Report.Suspects, Now, State);
+  for (const auto &[Zone, Evidence] : Report.Reach)
+    encode(Zone, Evidence, Now, *State.add_reach());
 }
 
 EntryReport decode(const wire::EntryState &State, TimePoint Now) {
@@ -213,6 +237,8 @@
     Report.Demands[{ServiceId(Each.service()), Each.model()}] =
         Each.per_second();
   Report.Suspects = decodeSuspects(State, Now);
+  for (const wire::ZoneReach &Each : State.reach())
+    Report.Reach[ZoneId(Each.zone())] = decode(Each, Now);
   return Report;
 }
 
@@ -253,6 +279,10 @@
   for (const auto &[Id, Entries] : Report.Denials)
     Sum.Denials[Id] += Entries;
   Sum.Entries += Report.Entries;
+  if (Sum.Zone == Report.Zone) {
+    for (const auto &[Zone, Evidence] : Report.Reach)
+      Sum.Reach[Zone] = merge(Sum.Reach[Zone], Evidence);
+  }
   if (std::pair(Report.DutyTerm, Report.DutyRenewal) >
       std::pair(Sum.DutyTerm, Sum.DutyRenewal)) {
     Sum.DutyTerm = Report.DutyTerm;
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -1,58 +1,14 @@
 #include "samphirehill/Serving/Placement.h"
+#include "PlacementScore.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace samphirehill::serving {
 namespace {
 
-// Returns the expected time to the first event, in seconds. If the complete
-// answer is not expected in time, its expected time is added.
-double generationScore(const UpstreamState &State, UpstreamLoad Load,
-                       const PlacementQuery &Query,
-                       const PlacementLimits &Limits) {
-  double Pace = State.Info.Pace;
-  double First = toSeconds(
-      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
-  ++Load.Running;
-  Load.PendingTokens = Query.Engine->TokensPerPass / 2;
-  double Events = static_cast<double>(Query.OutputTokens) /
-                  std::max(Query.Engine->EventSteps, 1);
-  double Complete =
-      First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
-  bool InTime = Complete * State.Slowness <=
-                Limits.AnswerShare * toSeconds(Query.TimeLeft);
-  return InTime ? First : First + Complete;
-}
-
-// Returns whether the pending prompts at the upstream would delay the first
-// event beyond the share of the objective that ObjectiveShare allows.
-bool promptsDelayTooLong(const UpstreamState &State,
-                         const PlacementQuery &Query,
-                         const PlacementLimits &Limits) {
-  UpstreamLoad Load = totalLoad(State);
-  if (!Query.Engine || Load.PendingTokens == 0)
-    return false;
-  Duration First = expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine,
-                                      State.Info.Pace);
-  return toSeconds(First) > Limits.ObjectiveShare * toSeconds(Query.Objective);
-}
-
-// Returns the score of an upstream with Load, in seconds; lower is better.
-double score(const UpstreamState &State, const UpstreamLoad &Load,
-             const PlacementQuery &Query, const PlacementLimits &Limits) {
-  double Score = 0;
-  if (Query.Engine)
-    Score = State.Slowness * generationScore(State, Load, Query, Limits);
-  else
-    Score = toSeconds(Limits.PlainRequestTime) * (Load.Running + 1) /
-            std::max(State.Info.Slots, 1);
-  if (State.Info.Zone != Query.OwnZone)
-    Score += toSeconds(Limits.OtherZonePenalty);
-  return Score + toSeconds(Limits.FailurePenalty) * State.FailureShare;
-}
-
 // An upstream that may take the request.
 struct Candidate {
   const UpstreamState *State = nullptr;
@@ -61,25 +17,6 @@
   int Expected = 0; // requests that peers are expected to send
 };
 
-// Returns how many prompt tokens an engine processes within Age.
-double promptTokensWithin(const EngineShape &Engine, Duration Age) {
-  constexpr double PromptShare = 0.5; // of the time; the rest is generation
-  return Engine.PromptTokensPerSecond * toSeconds(Age) * PromptShare;
-}
-
-// Estimates the load of an upstream now from peer reports that are ReportAge
-// old: prompt tokens that it has processed since then are subtracted.
-UpstreamLoad estimatedLoad(const UpstreamState &State,
-                           const PlacementQuery &Query, Duration ReportAge) {
-  UpstreamLoad Load = State.PeerLoad;
-  if (Query.Engine)
-    Load.PendingTokens = std::max<std::int64_t>(
-        Load.PendingTokens -
-            std::llround(promptTokensWithin(*Query.Engine, ReportAge)),
-        0);
-  return Load += State.OwnLoad;
-}
-
 // Returns the score of Option with the penalty for its taken slots. See
 // PlacementLimits::OccupancyPenalty.
 double scoreWithOccupancy(const Candidate &Option, const PlacementQuery &Query,
@@ -115,22 +52,6 @@
   return Now >= State.AvoidUntil || State.Avoid != AvoidReason::Stalled;
 }
 
-// Returns how long a request occupies its slot at an upstream with Load, in
-// seconds.
-double holdingSeconds(const UpstreamState &State, UpstreamLoad Load,
-                      const PlacementQuery &Query,
-                      const PlacementLimits &Limits) {
-  if (!Query.Engine)
-    return toSeconds(Limits.PlainRequestTime);
-  double Pace = State.Info.Pace;
-  double First = toSeconds(
-      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
-  double Events = static_cast<double>(Query.OutputTokens) /
-                  std::max(Query.Engine->EventSteps, 1);
-  Load.PendingTokens = 0;
-  return First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
-}
-
 // Slots of one ServiceModel, and the requests in them.
 struct Occupancy {
   double Target = 0; // slots that the entries together may fill
@@ -138,18 +59,6 @@
   int All = 0;       // requests of all entries
 };
 
-// Returns how many slots of an upstream the entries together may fill: all but
-// those kept free by PlacementLimits::FreeDeviations.
-double targetSlots(const UpstreamState &State, const PlacementQuery &Query,
-                   const PlacementLimits &Limits) {
-  UpstreamLoad Full;
-  Full.Running = State.Info.Slots;
-  double Turnovers = toSeconds(Limits.ReportAge) /
-                     std::max(holdingSeconds(State, Full, Query, Limits), 1e-3);
-  double Free = Limits.FreeDeviations * std::sqrt(Full.Running * Turnovers);
-  return std::max(Full.Running - Free, 1.0);
-}
-
 // Returns whether this entry uses its share of the slots. While peer reports
 // are delayed, entries that fill every slot that seems free would together send
 // more requests than there are slots.
@@ -183,11 +92,50 @@
       std::min<double>(std::max(Ended, Least), MaxRequests));
 }
 
+// Room for requests of one ServiceModel, at upstreams that take them.
+struct ZoneRooms {
+  ZoneRoom Own; // in the zone of this entry
+  ZoneRoom Others;
+};
+
+void addRoom(ZoneRooms &Rooms, const UpstreamState &State,
+             const PlacementQuery &Query, const PlacementLimits &Limits) {
+  ZoneRoom &Zone = State.Info.Zone == Query.OwnZone ? Rooms.Own : Rooms.Others;
+  Zone.Places += Query.Engine ? targetSlots(State, Query, Limits)
+                              : static_cast<double>(State.Info.Slots);
+  Zone.Taken += State.OwnLoad.Running + State.PeerLoad.Running;
+}
+
+// Leaves only the candidates in the zone that the request goes to: its own
+// while some there are as good as the best elsewhere, but for the share that
+// spills over. Returns a draw for the choice among those that are left.
+double keepOneZone(std::vector<Candidate> &Candidates, const ZoneRooms &Rooms,
+                   const PlacementQuery &Query, const PlacementLimits &Limits) {
+  double BestElsewhere = std::numeric_limits<double>::infinity();
+  double BestOwn = BestElsewhere;
+  for (const Candidate &Each : Candidates) {
+    bool IsOwn = Each.State->Info.Zone == Query.OwnZone;
+    double &Best = IsOwn ? BestOwn : BestElsewhere;
+    Best = std::min(Best, Each.Score);
+  }
+  double AsGood = BestElsewhere + toSeconds(Limits.OwnZoneTolerance);
+  if (std::isinf(BestElsewhere) || BestOwn > AsGood)
+    return Query.Draw;
+  SpillChoice Choice =
+      chooseZone(spillShare(Rooms.Own, Rooms.Others, Limits.Spill), Query.Draw);
+  std::erase_if(Candidates, [&](const Candidate &Each) {
+    bool IsOwn = Each.State->Info.Zone == Query.OwnZone;
+    return IsOwn == Choice.ToOtherZone || (IsOwn && Each.Score > AsGood);
+  });
+  return Choice.Draw;
+}
+
 // Assigns PeerRequests requests of the peers one by one, each to the candidate
-// that has the best score at that point. Returns the candidate that Query.Draw
+// that has the best score at that point. Returns the candidate that Draw
 // selects, with probabilities in proportion to the assigned requests.
 const Candidate &chooseAmongPeers(std::vector<Candidate> &Candidates,
-                                  int PeerRequests, const PlacementQuery &Query,
+                                  int PeerRequests, double Draw,
+                                  const PlacementQuery &Query,
                                   const PlacementLimits &Limits) {
   auto Worse = [](const Candidate *A, const Candidate *B) {
     return A->Score > B->Score;
@@ -215,7 +163,7 @@
     Best.Score = scoreWithOccupancy(Best, Query, Limits);
     std::push_heap(Heap.begin(), Heap.end(), Worse);
   }
-  double Left = Query.Draw * PeerRequests;
+  double Left = Draw * PeerRequests;
   for (const Candidate &Each : Candidates) {
     Left -= Each.Expected;
     if (Left < 0)
@@ -224,15 +172,50 @@
   return Candidates.back();
 }
 
+// Sets when a request for which nothing was chosen may be sent again, and why.
+void setRetry(Placement &Result, int QuietCount, int CutOffCount,
+              const UpstreamBook &Book, const PlacementQuery &Query,
+              TimePoint Now) {
+  if (QuietCount > 0 && QuietCount == Result.Candidates)
+    Result.Reason = PlacementFailure::Quiet;
+  if (Result.Candidates > 0 || CutOffCount == 0)
+    return;
+  Result.Reason = PlacementFailure::Unreachable;
+  // The callers would otherwise all return at the same moment.
+  constexpr Duration ReturnSpread = seconds(1);
+  ReachSettings Settings = Book.Reach.Settings;
+  Settings.RotationTime +=
+      std::chrono::duration_cast<Duration>(ReturnSpread * Query.Draw);
+  Result.RetryAt =
+      Query.NowWithSuspension +
+      returnAfterRotation(Book.Reach.Taking, Settings, Query.TimeLeft, Now);
+}
+
 } // namespace
 
+const char *toString(PlacementFailure Reason) {
+  switch (Reason) {
+  case PlacementFailure::Absent:
+    return "absent";
+  case PlacementFailure::Full:
+    return "full";
+  case PlacementFailure::Quiet:
+    return "quiet";
+  case PlacementFailure::Unreachable:
+    return "unreachable";
+  }
+  return "unknown";
+}
+
 Placement place(const UpstreamBook &Book, const PlacementQuery &Query,
                 TimePoint Now) {
   Placement Result;
   std::vector<Candidate> Candidates;
   bool AllAvoided = true;
   int QuietCount = 0;
+  int CutOffCount = 0;
   Occupancy Occupied;
+  ZoneRooms Rooms;
   bool SharesSlots =
       Query.Engine && !Query.Begun && Book.Limits.ReportAge > Duration::zero();
   for (const auto &[Key, State] : Book.Upstreams) {
@@ -241,6 +224,10 @@
         isLeaving(Book.Notices, lifeOf(Info)) ||
         hasEnded(Book, lifeOf(Info), Now))
       continue;
+    if (Book.Reach.CutOff.contains(Info.Zone)) {
+      ++CutOffCount;
+      continue;
+    }
     ++Result.Candidates;
     if (SharesSlots)
       Occupied.Target += targetSlots(State, Query, Book.Limits);
@@ -248,16 +235,19 @@
     Occupied.All += State.OwnLoad.Running + State.PeerLoad.Running;
     if (isQuiet(Book, Info, Query)) {
       TimePoint Until = quietUntil(Book.Notices, lifeOf(Info));
-      Result.QuietUntil =
-          QuietCount == 0 ? Until : std::min(Result.QuietUntil, Until);
+      Result.RetryAt =
+          QuietCount == 0 ? Until : std::min(Result.RetryAt, Until);
       ++QuietCount;
     }
+    bool Avoided = Now < State.AvoidUntil;
+    if (!Avoided && !isCold(State, Query.ColdPerSecond, Now) &&
+        !isQuiet(Book, Info, Query))
+      addRoom(Rooms, State, Query, Book.Limits);
     if (Query.Tried.contains(Key))
       continue;
     Result.Reason = PlacementFailure::Full;
     if (!mayTake(Book, State, Query, Now))
       continue;
-    bool Avoided = Now < State.AvoidUntil;
     if (Avoided && !AllAvoided)
       continue;
     if (!Avoided && AllAvoided)
@@ -267,18 +257,18 @@
     Candidates.push_back(
         {&State, Load, score(State, Load, Query, Book.Limits)});
   }
-  if (QuietCount > 0 && QuietCount == Result.Candidates)
-    Result.Reason = PlacementFailure::Quiet;
+  setRetry(Result, QuietCount, CutOffCount, Book, Query, Now);
   if (Candidates.empty() ||
       (SharesSlots && usesItsShare(Occupied, Query, Book.Limits)))
     return Result;
+  double Draw = keepOneZone(Candidates, Rooms, Query, Book.Limits);
   double Horizon =
       Book.Limits.LevelingHorizon * toSeconds(Book.Limits.ReportAge);
   int PeerRequests =
       Horizon > 0 ? advanceLoads(Candidates, Horizon, Query, Book.Limits) : 0;
   const Candidate &Best =
       PeerRequests > 0
-          ? chooseAmongPeers(Candidates, PeerRequests, Query, Book.Limits)
+          ? chooseAmongPeers(Candidates, PeerRequests, Draw, Query, Book.Limits)
           : *std::min_element(Candidates.begin(), Candidates.end(),
                               [](const Candidate &A, const Candidate &B) {
                                 return A.Score < B.Score;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Serving/RequestFlow.h"
 
 #include "samphirehill/Core/Hash.h"
+#include "samphirehill/Serving/EntryReach.h"
 #include "samphirehill/Serving/EventSplitter.h"
 #include "samphirehill/Serving/Placement.h"
 
@@ -27,18 +28,6 @@
 // Other entries serve while this one stops.
 constexpr Duration StoppingRetryDelay{};
 
-const char *toString(PlacementFailure Reason) {
-  switch (Reason) {
-  case PlacementFailure::Absent:
-    return "absent";
-  case PlacementFailure::Full:
-    return "full";
-  case PlacementFailure::Quiet:
-    return "quiet";
-  }
-  return "unknown";
-}
-
 // Returns whether the body of an answer may be an event stream.
 bool mayHoldEvents(const HttpResponse &Head) {
   const std::string *Type = findHeader(Head.Headers, "content-type");
@@ -73,6 +62,17 @@
       : Owner(Owner), Caller(std::move(Caller)), Number(Number),
         Held(Owner.Shared.Pool.bytes(), [this] { endHeldLater(); }) {}
 
+  // Has the request wait for the first configuration, which arrives soon after
+  // the start of the process.
+  void awaitConfiguration() {
+    Facts = shared().Wire.ReadRequest(Caller->Request);
+    Deadline =
+        std::max(Owner.StartedAt + Owner.Settings.MaxConfigurationWait, now());
+    if (Facts.TimeLeft)
+      Deadline = std::min(Deadline, Caller->ReceivedAt + *Facts.TimeLeft);
+    checkTimeouts(); // the configuration may be overdue
+  }
+
   // Checks the request against the configuration and refuses it if it has no
   // route, no valid key or no service, or has crashed too many upstreams.
   // Returns whether the request may be sent to an upstream.
@@ -80,9 +80,6 @@
     const HttpRequest &Request = Caller->Request;
     Facts = shared().Wire.ReadRequest(Request);
     Config = Owner.Config;
-    if (!Config)
-      return refuse(ResultCode::NoUpstream, "no_configuration",
-                    NoConfigurationRetryDelay);
     const Route *Found = Config->Routes.find(Facts.Host, Request.Target);
     if (!Found)
       return refuse(404, ResultCode::UnknownService, "unknown_route", {});
@@ -109,8 +106,7 @@
     Splitter.LastId = Facts.LastEventId;
     Fingerprint = requestFingerprint(Request.Target, Facts.Key, Request.Body);
     countRequest(shared().Retries, *Service, now());
-    if (Shape->Engine)
-      noteEvent(Owner.ArrivalRates[serviceModel()], now());
+    noteEvent(Owner.ArrivalRates[serviceModel()], now());
     if (!mayRun(shared().Crashes, Fingerprint, now()))
       return refuse(503, ResultCode::CrashesUpstreams, "crashes_upstreams",
                     CrashingRetryDelay);
@@ -161,7 +157,7 @@
     PlacementQuery Query = query();
     Placement Found = place(shared().Book, Query, now());
     LastReason = Found.Reason;
-    QuietUntil = Found.QuietUntil;
+    RetryAt = Found.RetryAt;
     if (!Found.Chosen)
       return false;
     if (ReachedUpstream && !takeRetry(shared().Retries, Shape->Id, now())) {
@@ -191,12 +187,14 @@
   }
 
   // Refuses the request at once if all upstreams that could serve it have asked
-  // for a pause and none has begun to work on it. Returns whether the request
-  // was refused.
-  bool refuseIfQuiet() {
-    if (LastReason != PlacementFailure::Quiet || hasBegun())
+  // for a pause or can't be reached, and none has begun to work on it. Returns
+  // whether the request was refused.
+  bool refuseIfHopeless() {
+    bool Unreachable = LastReason == PlacementFailure::Unreachable;
+    if ((!Unreachable && LastReason != PlacementFailure::Quiet) || hasBegun())
       return false;
-    giveUp(ResultCode::Overloaded, "all_quiet");
+    giveUp(Unreachable ? ResultCode::NoUpstream : ResultCode::Overloaded,
+           Unreachable ? "out_of_reach" : "all_quiet");
     return true;
   }
 
@@ -214,6 +212,8 @@
       return;
     if (Now >= Deadline)
       return deadlinePassed();
+    if (!Config)
+      return;
     if (State == FlowState::Waiting)
       return checkWait(Now);
     // An engine may have yet to begin on a request that was sent before its
@@ -329,11 +329,11 @@
     Query.ColdPerSecond = Shape->ColdPerSecond;
     Query.Tried = Tried;
     Query.ExtraSlots = Shape->Engine ? 0 : Owner.Settings.PlainServiceQueue;
+    Query.TimeLeft = Deadline - now();
     if (Shape->Engine) {
       Query.Engine = &*Shape->Engine;
       Query.PromptTokens = Facts.PromptTokens;
       Query.OutputTokens = Facts.OutputTokens;
-      Query.TimeLeft = Deadline - now();
       Query.Objective = MatchedRoute->Objective;
       Query.DemandShare = demandShare();
       Query.Late =
@@ -375,6 +375,8 @@
     noteSent(shared().Book, Key, Query, AttemptStart);
     noteExpectedFirst(Key, Query);
     noteEvent(Owner.SendRates[serviceModel()], AttemptStart);
+    shared().Metrics.count(
+        "sends", "zone", Chosen.Zone == Owner.Settings.Zone ? "own" : "other");
     spdlog::info(
         "event=sent request={} attempt={} upstream={} epoch={} zone={} "
         "running={} elsewhere={} waited_ms={} left_ms={} resume={}",
@@ -696,6 +698,8 @@
     endAttempt(true);
     Tried.insert(Key);
     if (!Ran) {
+      if (Kind != ExchangeFailure::Refused)
+        noteUnreached(shared().Book, Key, now());
       avoidUpstream(shared().Book, Key, AvoidReason::Unreachable,
                     now() + Owner.Settings.UnreachableAvoidance);
       if (!retry("unreachable"))
@@ -757,7 +761,7 @@
       return true;
     if (RetriesExhausted)
       return false;
-    if (refuseIfQuiet())
+    if (refuseIfHopeless())
       return true;
     beginWaiting();
     Owner.Waiting.push_back(shared_from_this());
@@ -800,6 +804,7 @@
                    CurrentUpstream->Instance.str(), CurrentUpstream->Epoch,
                    toMilliseconds(Silence));
       shared().Metrics.count("upstream_changes", "to", "stalled");
+      noteUnreached(shared().Book, *CurrentUpstream, Now);
       avoidUpstream(shared().Book, *CurrentUpstream, AvoidReason::Stalled,
                     Now + Owner.Settings.StallAvoidance);
     }
@@ -833,6 +838,11 @@
   }
 
   void deadlinePassed() {
+    if (!Config) {
+      refuse(ResultCode::NoUpstream, "no_configuration",
+             NoConfigurationRetryDelay);
+      return;
+    }
     if (State == FlowState::Waiting)
       return giveUp(ResultCode::Overloaded, "deadline_waiting");
     bool Sent = Attempt != nullptr;
@@ -880,8 +890,8 @@
       refuse(Code == ResultCode::DeadlineExceeded ? 504 : 502, Code, Why, {});
       return;
     }
-    Duration QuietLeft = QuietUntil - shared().Timers.nowWithSuspension();
-    refuse(503, Code, Why, retryAfter(LastReason, Deadline - now(), QuietLeft));
+    Duration Left = RetryAt - shared().Timers.nowWithSuspension();
+    refuse(503, Code, Why, retryAfter(LastReason, Deadline - now(), Left));
   }
 
   // Ends a stream that has begun so that it does not look complete.
@@ -951,7 +961,7 @@
   bool RetriesExhausted = false; // the retry limit denied the last retry
   bool CallerDisconnected = false;
   PlacementFailure LastReason = PlacementFailure::Absent;
-  TimePoint QuietUntil{}; // set if LastReason is Quiet
+  TimePoint RetryAt{}; // see Placement
   HttpResponse Collected;
   AnswerFacts CollectedFacts;
   EventSplitter Splitter;
@@ -961,7 +971,7 @@
 
 RequestFlows::RequestFlows(FlowShared Shared, FlowSettings Settings)
     : Shared(std::move(Shared)), Settings(std::move(Settings)),
-      Random(std::random_device{}()) {
+      StartedAt(this->Shared.Timers.now()), Random(std::random_device{}()) {
   Sweep = this->Shared.Timers.every(SweepPeriod, [this] { sweep(); });
 }
 
@@ -977,6 +987,11 @@
 void RequestFlows::setConfiguration(
     std::shared_ptr<const Configuration> Changed) {
   Config = std::move(Changed);
+  for (const std::shared_ptr<RequestFlow> &Flow :
+       std::exchange(Unconfigured, {})) {
+    if (Flow->state() != FlowState::Done)
+      begin(Flow);
+  }
 }
 
 std::map<ServiceModel, double> RequestFlows::requestRates() const {
@@ -994,60 +1009,22 @@
     if (std::shared_ptr<RequestFlow> Self = Weak.lock())
       Self->callerDisconnected();
   };
+  if (Config)
+    return begin(Flow);
+  Unconfigured.push_back(Flow);
+  Flow->awaitConfiguration();
+}
+
+void RequestFlows::begin(const std::shared_ptr<RequestFlow> &Flow) {
   if (!Flow->admit())
     return;
-  if (Flow->trySend() || Flow->refuseIfQuiet())
+  if (Flow->trySend() || Flow->refuseIfHopeless())
     return;
   Flow->beginWaiting();
   Waiting.push_back(Flow);
   refuseExcess(*Flow);
 }
 
-void RequestFlows::checkCrash(const Upstream &Engine,
-                              std::vector<PromptPart> Prompt) {
-  InstanceLife Life = lifeOf(Engine);
-  EngineCrash Seen{crashId(Life), Engine.Domain, Shared.Timers.now(), {}};
-  if (!Prompt.empty())
-    Seen.Prompts.push_back(std::move(Prompt));
-  if (hasEnded(Shared.Book, Life, Seen.At))
-    return noteEngineCrash(Life, Seen);
-  auto [Place, IsNew] = Checks->try_emplace(Life, Seen);
-  if (!IsNew) {
-    std::vector<std::vector<PromptPart>> &Prompts = Place->second.Prompts;
-    Prompts.insert(Prompts.end(), Seen.Prompts.begin(), Seen.Prompts.end());
-    return;
-  }
-  Shared.Pool.checkRefuses(
-      Engine.Address,
-      [this, Life, Weak = std::weak_ptr<CrashChecks>(Checks)](bool Refused) {
-        if (Weak.expired())
-          return;
-        auto Checked = Checks->extract(Life);
-        if (Refused)
-          noteEngineCrash(Life, Checked.mapped());
-        else
-          spdlog::info("event=engine_lives instance={} born={}", Life.Id.str(),
-                       Life.BornMilliseconds);
-        dispatchWaiting();
-      });
-}
-
-void RequestFlows::noteEngineCrash(const InstanceLife &Life,
-                                   const EngineCrash &Crash) {
-  bool IsNew = !hasEnded(Shared.Book, Life, Crash.At);
-  noteCrash(Shared.Suspects, Crash, Shared.Timers.now());
-  noteLifeEnded(Shared.Book, Life, Crash.At);
-  if (IsNew) {
-    Shared.Metrics.count("engine_crashes", "seen", "own");
-    spdlog::warn("event=engine_crashed instance={} born={} domain={} "
-                 "suspects={}",
-                 Life.Id.str(), Life.BornMilliseconds, Crash.Domain,
-                 Crash.Prompts.size());
-  }
-  if (Shared.OnSuspectNews && (IsNew || !Crash.Prompts.empty()))
-    Shared.OnSuspectNews();
-}
-
 void RequestFlows::refuseExcess(const RequestFlow &Newest) {
   std::vector<std::shared_ptr<RequestFlow>> Queue;
   std::vector<WaitingRequest> Ranked;
@@ -1082,7 +1059,8 @@
     std::size_t Index = nextToServe(Ranked, Now);
     std::shared_ptr<RequestFlow> Next = Unsent[Index];
     Unsent.erase(Unsent.begin() + static_cast<std::ptrdiff_t>(Index));
-    if (!Next->refuseIfBlamed() && !Next->trySend() && !Next->refuseIfQuiet())
+    if (!Next->refuseIfBlamed() && !Next->trySend() &&
+        !Next->refuseIfHopeless())
       StillWaiting.push_back(Next);
   }
   Waiting.insert(Waiting.end(), StillWaiting.begin(), StillWaiting.end());
@@ -1106,6 +1084,7 @@
 void RequestFlows::remove(const std::shared_ptr<RequestFlow> &Flow) {
   Flows.erase(Flow);
   std::erase(Waiting, Flow);
+  std::erase(Unconfigured, Flow);
   dispatchWaiting();
 }
 
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirehill/Core/Hash.h"
 #include "samphirehill/Core/JsonParts.h"
+#include "samphirehill/Serving/EntryReach.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -51,12 +52,18 @@
 // Number of entries assumed until the other entries are known: an entry then
 // uses only a small share of the limits that all entries share.
 constexpr int AssumedEntries = 64;
+// Age of the other entries' reports that is assumed until they are known. New
+// entries would otherwise all send to the upstream that looks best to each.
+constexpr Duration AssumedReportAge = milliseconds(400);
 // Reports that arrive within this time are applied together: a relay receives
 // those of all entries of its zone within one period.
 constexpr Duration LoadRefreshDelay = milliseconds(10);
 // Minimum time between two reads of the configuration that are made because
 // another entry reports a newer version.
 constexpr Duration ConfigurationReadPause = milliseconds(700);
+// How often an entry tries to connect to a zone that is cut off. Reports from
+// there usually come earlier.
+constexpr Duration ReachProbePeriod = seconds(1);
 // Upper bound on the cores that an entry reports.
 constexpr double MaxProcessorShare = 1'024;
 // How long an upstream gets no requests from this entry after other entries
@@ -168,6 +175,8 @@
           Timers.wallNow().time_since_epoch().count())) {
   Retries.Bounds = retryBounds(Settings, AssumedEntries);
   Book.Limits.Entries = AssumedEntries;
+  Book.Limits.ManyEntries = true;
+  Book.Limits.ReportAge = AssumedReportAge;
   Book.Limits.Self = Settings.Entry;
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
   Pool.bytes()->OnEnd = [&Metrics](ByteUse Use, std::size_t Bytes) {
@@ -258,6 +267,8 @@
           return retryJoin({ResultCode::Conflict, "own entry is outdated"});
         PeerRetry = Timers.after(peerRelistDelay(), [this] { listPeers(); });
         PeersListed = true;
+        Book.Limits.ManyEntries = Peers.usesRelays();
+        Book.Limits.ReportAge = Peers.meanLoadAge();
         Groups.setPeersKnown();
       });
 }
@@ -485,6 +496,8 @@
   Report.Denials = Groups.denials();
   Report.ListRevision = Reader.FollowedRevision ? Reader.FollowedRevision() : 0;
   Report.ListDigest = Changes.Digest;
+  collectEvidence(Book, Peers.table());
+  Report.Reach = Book.Reach.Seen;
   Report.ZonesOut = Instances.ZonesOut;
   Report.ZonesOutRevision = Report.ListRevision > 0 ? ZonesOutRevision : 0;
   return Report;
@@ -654,8 +667,11 @@
   exchangeBlames();
   logBlamedParts();
   refreshLoad();
-  Book.Limits.ManyEntries = Peers.usesRelays();
-  Book.Limits.ReportAge = Peers.meanLoadAge();
+  updateReadiness();
+  if (PeersListed) {
+    Book.Limits.ManyEntries = Peers.usesRelays();
+    Book.Limits.ReportAge = Peers.meanLoadAge();
+  }
   int Entries = static_cast<int>(Peers.peers().size()) + 1;
   if (Entries > 1) {
     Retries.Bounds = retryBounds(Settings, Entries);
@@ -677,15 +693,58 @@
               static_cast<double>(Callers.connectionCount()));
 }
 
-bool ServingEntry::isReady() const {
-  return !Stopped && Config && !Book.Upstreams.empty();
+std::string ServingEntry::unreadyCause() const {
+  if (Stopped)
+    return "stopping";
+  if (!Config)
+    return "no_configuration";
+  if (Book.Upstreams.empty())
+    return "no_upstreams";
+  return Book.Reach.Taking.Ready ? "" : "zones_cut_off";
+}
+
+void ServingEntry::updateReadiness() {
+  TimePoint Now = Timers.now();
+  collectEvidence(Book, Peers.table());
+  std::map<ServiceModel, double> Rates = Flows.requestRates();
+  bool Changed =
+      updateReach(Book, evidenceOfOwnZone(Peers.table(), Now), Rates, Now);
+  probeCutOffZones();
+  for (const auto &[Kind, Each] : reachByService(Book, Rates))
+    Metrics.set("upstreams_in_reach",
+                {{"service", Kind.Service.str()}, {"model", Kind.Model}},
+                Each.InReach);
+  std::string Cause = unreadyCause();
+  if (!Changed && Cause == UnreadyCause)
+    return;
+  UnreadyCause = std::move(Cause);
+  spdlog::warn("event=readiness ready={} cause=\"{}\" cut_off=\"{}\"",
+               UnreadyCause.empty(), UnreadyCause, zonesCutOff(Book));
+  Metrics.set("ready", UnreadyCause.empty() ? 1 : 0);
+  Callers.setClosing(Stopped || !Book.Reach.Taking.Ready);
+  Flows.dispatchWaiting();
+}
+
+void ServingEntry::probeCutOffZones() {
+  TimePoint Now = Timers.now();
+  if (Book.Reach.CutOff.empty() || Now - ReachProbedAt < ReachProbePeriod)
+    return;
+  ReachProbedAt = Now;
+  double Draw = std::uniform_real_distribution<double>(0, 1)(Random);
+  for (const Upstream &Each : upstreamsToProbe(Book, Draw))
+    Pool.checkConnect(
+        Each.Address, [this, Zone = Each.Zone,
+                       Alive = std::weak_ptr(IsAlive)](ConnectCheck Seen) {
+          if (!Alive.expired() && Seen != ConnectCheck::Unanswered)
+            noteReached(Book, Zone, Timers.now());
+        });
 }
 
 void ServingEntry::answerReadiness(
     const std::shared_ptr<CallerRequest> &Request) {
   HttpResponse Answer;
   bool IsReadinessPath = Request->Request.Target == Platform.ReadinessPath;
-  Answer.Status = !IsReadinessPath ? 404 : isReady() ? 200 : 503;
+  Answer.Status = !IsReadinessPath ? 404 : unreadyCause().empty() ? 200 : 503;
   Request->reply(Answer);
 }
 
@@ -724,7 +783,7 @@
   Stopped = true;
   spdlog::info("event=stop active={} connections={}", Flows.activeCount(),
                Callers.connectionCount());
-  Callers.beginClose();
+  Callers.setClosing(true);
   TimePoint StartedAt = Timers.now();
   Flows.beginStop(StartedAt + Settings.Grace - GraceMargin);
   auto SharedDone = std::make_shared<std::function<void()>>(std::move(Done));
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -492,18 +492,24 @@
     Connection->close();
 }
 
-void ExchangePool::checkRefuses(const SocketAddress &Address,
-                                std::function<void(bool Refused)> Done) {
+void ExchangePool::checkConnect(const SocketAddress &Address,
+                                std::function<void(ConnectCheck Seen)> Done) {
   ExchangeOptions Options;
   Options.MaxIdle = Duration::zero(); // a new connection
-  Options.StillAllowed = [] { return false; };
+  auto Accepted = std::make_shared<bool>(false);
+  Options.StillAllowed = [Accepted] {
+    *Accepted = true;
+    return false;
+  };
   ExchangeHandlers Handlers;
   Handlers.OnHead = [](const HttpResponse &) { return false; };
   Handlers.OnBody = [](std::string_view) {};
   Handlers.OnEnd = [] {};
-  Handlers.OnFailure = [Done = std::move(Done)](ExchangeFailure Kind,
-                                                const std::string &) {
-    Done(Kind == ExchangeFailure::Refused);
+  Handlers.OnFailure = [Done = std::move(Done), Accepted](ExchangeFailure Kind,
+                                                          const std::string &) {
+    Done(Kind == ExchangeFailure::Refused ? ConnectCheck::Refused
+         : *Accepted                      ? ConnectCheck::Accepted
+                                          : ConnectCheck::Unanswered);
   };
   start(Address, {}, Options, std::move(Handlers));
 }
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -56,10 +56,10 @@
   return Reason == PlacementFailure::Full && Since <= StartBy && Now > StartBy;
 }
 
-Duration retryAfter(PlacementFailure Reason, Duration TimeLeft,
-                    Duration QuietLeft) {
-  if (Reason == PlacementFailure::Quiet)
-    return std::max(QuietLeft, MinRetryAfter);
+Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left) {
+  if (Reason == PlacementFailure::Quiet ||
+      Reason == PlacementFailure::Unreachable)
+    return std::max(Left, MinRetryAfter);
   Duration Expected =
       Reason == PlacementFailure::Absent ? GroupRepairTime : OverloadDuration;
   auto Latest =
--- a/test/Serving/CallerServerTest.cpp
+++ b/test/Serving/CallerServerTest.cpp
@@ -97,11 +97,26 @@
     Request.endStream();
   };
   request();
-  Server.beginClose();
+  Server.setClosing(true);
   Server.closeIdle();
   EXPECT_TRUE(readAnswer("0\r\n\r\n").ends_with("x\r\n0\r\n\r\n"));
 }
 
+// An entry that can't serve its callers for a while says so on the connections
+// that they keep.
+TEST_F(CallerServerTest, KeepsConnectionsAgainWhenItNoLongerCloses) {
+  Answer = [](CallerRequest &Request) {
+    Request.reply(HttpResponse{200, {}, "end"});
+  };
+  Server.setClosing(true);
+  Server.setClosing(false);
+  request();
+  EXPECT_EQ(readAnswer("end").find("Connection: close"), std::string::npos);
+  Server.setClosing(true);
+  request();
+  EXPECT_NE(readAnswer("end").find("Connection: close"), std::string::npos);
+}
+
 TEST_F(CallerServerTest, WritesWholeAnswerWhenCallerHasEndedItsSide) {
   request();
   Caller.shutdown(asio::ip::tcp::socket::shutdown_send);
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -40,6 +40,10 @@
                      {{4, TimePoint{seconds(7)}}},
                      {{5, 2, TimePoint{seconds(6)}}}};
   Report.Demands = {{{PoolService, "large"}, 12.5}, {{PlainService, ""}, 1}};
+  Report.Reach = {
+      {ZoneId("south"),
+       {TimePoint{seconds(7)}, TimePoint{seconds(6)}, TimePoint{seconds(8)}}},
+      {ZoneId("west"), {{}, {}, TimePoint{seconds(8)}}}};
   return Report;
 }
 
--- a/test/Serving/PlacementReplay.cpp
+++ b/test/Serving/PlacementReplay.cpp
@@ -37,7 +37,7 @@
       Group.Key = groupKey(Number);
       Group.Service = PoolService;
       Group.Model = "large";
-      Group.Zone = ZoneId("z" + std::to_string(Number % Zones));
+      Group.Zone = zone(static_cast<std::size_t>(Number));
       Group.Slots = Shape.Engine->Slots;
       Usable.push_back(Group);
     }
@@ -61,7 +61,20 @@
   }
 
 private:
-  static constexpr int Zones = 5;
+  ZoneId zone(std::size_t Number) const {
+    return ZoneId("z" + std::to_string(Number % Load.ZoneDemand.size()));
+  }
+
+  // Returns an entry of a zone that is chosen by the zones' demand.
+  std::size_t chooseEntry() {
+    std::size_t Zones = Load.ZoneDemand.size();
+    auto Zone = std::discrete_distribution<std::size_t>(
+        Load.ZoneDemand.begin(), Load.ZoneDemand.end())(Random);
+    std::size_t InZone = (Books.size() - Zone + Zones - 1) / Zones;
+    auto Number =
+        std::uniform_int_distribution<std::size_t>(0, InZone - 1)(Random);
+    return Number * Zones + Zone;
+  }
 
   void processDueEvents() {
     while (!Due.empty() && Due.begin()->first <= Now) {
@@ -105,12 +118,11 @@
   }
 
   void sendRequest() {
-    auto Entry =
-        std::uniform_int_distribution<std::size_t>(0, Books.size() - 1)(Random);
+    std::size_t Entry = chooseEntry();
     PlacementQuery Query;
     Query.Service = PoolService;
     Query.Model = "large";
-    Query.OwnZone = ZoneId("z" + std::to_string(Entry % Zones));
+    Query.OwnZone = zone(Entry);
     Query.Engine = &*Shape.Engine;
     Query.PromptTokens = PromptTokens;
     Query.OutputTokens = OutputTokens;
@@ -123,6 +135,8 @@
       return;
     }
     ++Result.Arrivals;
+    Result.OwnZone +=
+        Books[Entry].Upstreams.at(*Found.Chosen).Info.Zone == Query.OwnZone;
     UpstreamLoad &Actual = Loads[*Found.Chosen];
     if (Actual.Running >= Shape.Engine->Slots + QueueLimit) {
       ++Result.Rejected;
@@ -131,6 +145,7 @@
     Duration First =
         expectedFirstEvent(Actual, PromptTokens, *Shape.Engine, 1.0);
     Result.InTime += First <= Query.Objective;
+    Result.FirstEvents += First;
     noteSent(Books[Entry], *Found.Chosen, Query, Now);
     ++Actual.Running;
     Actual.PendingTokens += PromptTokens;
--- a/test/Serving/PlacementReplayTest.cpp
+++ b/test/Serving/PlacementReplayTest.cpp
@@ -48,5 +48,64 @@
   }
 }
 
+// 27 entries in three zones, reports 400 ms old, half of the slots taken. On
+// the bench two thirds of the requests went to another zone while their own
+// zone's groups were no fuller.
+TEST(PlacementReplayTest, KeepsWorkInItsZoneWhileThatIsNoFuller) {
+  ReplayedLoad Load;
+  Load.Entries = 27;
+  Load.Groups = 12;
+  Load.PerSecond = 110;
+  Load.ZoneDemand = {1, 1, 1};
+  const Duration Age = milliseconds(400);
+  for (std::uint32_t Seed : {1u, 2u, 3u}) {
+    Load.Seed = Seed;
+    ReplayResult Kept = replay(Load, limitsWithPeers(Age), Age);
+    EXPECT_GE(Kept.OwnZone * 100, Kept.Arrivals * 85) << Seed;
+    EXPECT_LE(Kept.Rejected * 100, Kept.Arrivals) << Seed;
+    EXPECT_GE(Kept.InTime * 100, Kept.Arrivals * 95) << Seed;
+  }
+}
+
+// Two zones have one and a half times the demand of the third. With zones that
+// are as good as far away, the entries level all groups together.
+TEST(PlacementReplayTest, ServesZonesOfUnequalDemandNoLaterThanBefore) {
+  ReplayedLoad Load;
+  Load.Entries = 27;
+  Load.Groups = 12;
+  Load.PerSecond = 125;
+  Load.ZoneDemand = {1, 1.5, 1.5};
+  const Duration Age = milliseconds(400);
+  PlacementLimits AllZones = limitsWithPeers(Age);
+  AllZones.OwnZoneTolerance = -seconds(1);
+  for (std::uint32_t Seed : {1u, 2u, 3u}) {
+    Load.Seed = Seed;
+    ReplayResult Kept = replay(Load, limitsWithPeers(Age), Age);
+    ReplayResult Leveled = replay(Load, AllZones, Age);
+    EXPECT_EQ(Kept.Arrivals, Leveled.Arrivals) << Seed;
+    EXPECT_LE(Kept.FirstEvents, Leveled.FirstEvents) << Seed;
+    EXPECT_LE(Kept.Rejected * 100, Kept.Arrivals) << Seed;
+    EXPECT_GT(Kept.OwnZone, 2 * Leveled.OwnZone) << Seed;
+  }
+}
+
+// One zone has all the demand that its groups could serve, and the others have
+// little.
+TEST(PlacementReplayTest, SpillsOverFromAZoneThatIsFull) {
+  ReplayedLoad Load;
+  Load.Entries = 27;
+  Load.Groups = 12;
+  Load.PerSecond = 110;
+  Load.ZoneDemand = {1, 1, 4};
+  const Duration Age = milliseconds(400);
+  for (std::uint32_t Seed : {1u, 2u, 3u}) {
+    Load.Seed = Seed;
+    ReplayResult Spilled = replay(Load, limitsWithPeers(Age), Age);
+    EXPECT_LE(Spilled.Rejected * 50, Spilled.Arrivals) << Seed;
+    EXPECT_GE(Spilled.InTime * 100, Spilled.Arrivals * 95) << Seed;
+    EXPECT_LT(Spilled.OwnZone * 100, Spilled.Arrivals * 85) << Seed;
+  }
+}
+
 } // namespace
 } // namespace samphirehill::serving
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -123,9 +123,18 @@
                 Timers.now());
   }
 
-  void send(const std::string &Path, const std::string &Headers = "") {
+  void configure() {
     Config.Routes = RouteTable::create(Routes);
     Flows.setConfiguration(std::make_shared<const Configuration>(Config));
+  }
+
+  void send(const std::string &Path, const std::string &Headers = "") {
+    configure();
+    sendUnconfigured(Path, Headers);
+  }
+
+  void sendUnconfigured(const std::string &Path,
+                        const std::string &Headers = "") {
     std::string Bytes = "POST " + Path +
                         "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
                         "Content-Length: " +
@@ -328,6 +337,54 @@
   EXPECT_EQ(Quiet.requests(), 1);
 }
 
+// Power is back and all entries are new processes: callers reach them some
+// milliseconds before they have read the configuration.
+TEST_F(RequestFlowTest, HoldsRequestUntilTheFirstConfiguration) {
+  addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "A"));
+  });
+  sendUnconfigured("/safe/");
+  ASSERT_TRUE(runUntil(Context, [&] { return Flows.activeCount() == 1; }));
+  EXPECT_TRUE(Received.empty());
+  configure();
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+}
+
+// The platform is away: requests are refused soon, and then at once.
+TEST_F(RequestFlowTest, RefusesRequestsWhenNoConfigurationArrives) {
+  TimePoint Start = Timers.now();
+  sendUnconfigured("/safe/");
+  EXPECT_TRUE(awaitAnswer("503"));
+  EXPECT_TRUE(awaitAnswer("retry: yes"));
+  EXPECT_LT(toMilliseconds(Timers.now() - Start), 900);
+  Received.clear();
+  Start = Timers.now();
+  sendUnconfigured("/safe/");
+  EXPECT_TRUE(awaitAnswer("503"));
+  EXPECT_LT(toMilliseconds(Timers.now() - Start), 250);
+}
+
+// The engines' zone is cut off: a request isn't tried there, and its caller is
+// told at once when another zone can take it.
+TEST_F(RequestFlowTest, RefusesImmediatelyWhenAllEnginesAreOutOfReach) {
+  ScriptedServer &Engine =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "A"));
+      });
+  const ZoneId Zone = Book.Upstreams.begin()->second.Info.Zone;
+  Book.Reach.CutOff = {Zone};
+  TimePoint Start = Timers.now();
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("503"));
+  EXPECT_TRUE(awaitAnswer("retry: yes"));
+  EXPECT_LT(toMilliseconds(Timers.now() - Start), 250);
+  EXPECT_EQ(Engine.requests(), 0);
+  Book.Reach.CutOff.clear();
+  Received.clear();
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+}
+
 // A request that failed without the statement that it was not run may have run,
 // even if the answer requests a pause. So it is not retried.
 TEST_F(RequestFlowTest, ForwardsFailureThatRequestsAPause) {
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -122,7 +122,7 @@
   noteQuiet(Book.Notices, {InstanceId("i2"), 0}, seconds(4), 0, Now);
   Placement None = place(Book, Query, Now);
   EXPECT_EQ(None.Reason, PlacementFailure::Quiet);
-  EXPECT_EQ(None.QuietUntil, Now + seconds(2));
+  EXPECT_EQ(None.RetryAt, Now + seconds(2));
   EXPECT_FALSE(maySend(Book, key(0), Now + milliseconds(1'999)));
   EXPECT_TRUE(maySend(Book, key(0), Now + seconds(2)));
   Query.NowWithSuspension = Now + seconds(2);
@@ -205,6 +205,37 @@
   EXPECT_EQ(place(Book, Query, Now).Reason, PlacementFailure::Absent);
 }
 
+// Only group 2 is in the other zone.
+TEST_F(UpstreamBookTest, PlacesNothingInZonesThatAreCutOff) {
+  Book.Reach.CutOff = {ZoneId("north")};
+  EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
+  Book.Reach.CutOff = {ZoneId("north"), ZoneId("south")};
+  Book.Reach.Taking = {false, Now - milliseconds(1'100)};
+  Query.NowWithSuspension = Now;
+  Placement None = place(Book, Query, Now);
+  EXPECT_FALSE(None.Chosen);
+  EXPECT_EQ(None.Reason, PlacementFailure::Unreachable);
+  EXPECT_EQ(None.RetryAt, Now + seconds(1));
+  Query.Draw = 0.5;
+  EXPECT_EQ(place(Book, Query, Now).RetryAt, Now + milliseconds(1'500))
+      << "callers don't all return at one moment";
+}
+
+// The places of a zone that is cut off are no part of those that are shared.
+TEST_F(UpstreamBookTest, SharesOnlyPlacesInReach) {
+  Book.Limits.ReportAge = milliseconds(400);
+  Book.Reach.CutOff = {ZoneId("north")};
+  Query.DemandShare = 0.5;
+  int Sent = 0;
+  while (Sent < 26 && place(Book, Query, Now).Chosen) {
+    noteSent(Book, key(2), Query, Now);
+    noteFirstEvent(Book, key(2), Query.PromptTokens);
+    ++Sent;
+  }
+  EXPECT_GE(Sent, 13) << "half of the slots of the only group";
+  EXPECT_LT(Sent, 26);
+}
+
 TEST_F(UpstreamBookTest, SendsNothingToStalledGroups) {
   for (int Number = 0; Number < 3; ++Number)
     avoidUpstream(Book, key(Number), AvoidReason::Stalled, Now + seconds(1));
