--- a/test/Serving/PlacementReplayTest.cpp
+++ b/test/Serving/PlacementReplayTest.cpp
@@ -107,5 +107,29 @@
   }
 }
 
+// Power is back: all entries are new processes and no report has arrived yet.
+// An entry that takes itself for the only one fills its zone's groups one after
+// the other, as all others do, so prompts wait for each other.
+TEST(PlacementReplayTest, NewEntriesSpreadRequestsBeforeTheFirstReports) {
+  ReplayedLoad Load;
+  Load.Entries = 28;
+  Load.Groups = 19;
+  Load.Length = milliseconds(300);
+  Load.ZoneDemand = {1, 1, 1};
+  const Duration Age = milliseconds(400);
+  for (double PerSecond : {300.0, 600.0, 1'000.0}) {
+    Load.PerSecond = PerSecond;
+    for (std::uint32_t Seed : {1u, 2u, 3u}) {
+      Load.Seed = Seed;
+      ReplayResult Spread = replay(Load, limitsWithPeers(Age), Age);
+      ReplayResult Alone = replay(Load, {}, Age);
+      EXPECT_EQ(Spread.NotPlaced, 0) << Seed;
+      EXPECT_EQ(Spread.Rejected, 0) << Seed;
+      EXPECT_LT(Spread.FirstEvents, Alone.FirstEvents) << Seed;
+      EXPECT_GE(Spread.InTime, Alone.InTime) << Seed;
+    }
+  }
+}
+
 } // namespace
 } // namespace samphirehill::serving
