--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -8,6 +8,7 @@
 #include "samphirehill/Groups/DemandPlan.h"
 #include "samphirehill/Limits/FairShare.h"
 #include "samphirehill/Limits/PartSuspects.h"
+#include "samphirehill/Limits/ServiceReach.h"
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
@@ -63,6 +64,9 @@
   // Work of organisations, by the kind of place.
   std::map<ServiceModel, WorkByClaim> ClaimedPlaces;
   SuspectReport Suspects;
+  // When the sender, or the entries of its zone, reached the zones. Empty in a
+  // summary of several zones.
+  std::map<ZoneId, ZoneEvidence> Reach;
 
   bool operator==(const EntryReport &) const = default;
 };
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -37,9 +37,6 @@
   double MinStartFraction = 0.25;
 };
 
-// Returns the name of Reason in logs.
-const char *toString(PlacementFailure Reason);
-
 // Returns how long a request may wait. Reason says why no upstream can take
 // it; TimeLeft is the caller's remaining time when the wait began.
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
@@ -55,10 +52,9 @@
 
 // Returns the delay after which a caller that is refused for Reason should
 // retry: when a place is likely to be free, but early enough to be served
-// within TimeLeft. If all upstreams have asked for a pause (quiet), that is the
-// time until the first pause ends, QuietLeft.
-Duration retryAfter(PlacementFailure Reason, Duration TimeLeft,
-                    Duration QuietLeft);
+// within TimeLeft. If all upstreams have asked for a pause or can't be reached,
+// the time is known: Left. See Placement::RetryAt.
+Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left);
 
 // Rate of events, as an exponentially decaying average.
 struct EventRate {
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -40,18 +40,6 @@
 
 } // namespace
 
-const char *toString(PlacementFailure Reason) {
-  switch (Reason) {
-  case PlacementFailure::Absent:
-    return "absent";
-  case PlacementFailure::Full:
-    return "full";
-  case PlacementFailure::Quiet:
-    return "quiet";
-  }
-  return "unknown";
-}
-
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
                  Duration TimeLeft) {
   double Fraction = Reason == PlacementFailure::Absent
@@ -68,10 +56,10 @@
   return Reason == PlacementFailure::Full && Since <= StartBy && Now > StartBy;
 }
 
-Duration retryAfter(PlacementFailure Reason, Duration TimeLeft,
-                    Duration QuietLeft) {
-  if (Reason == PlacementFailure::Quiet)
-    return std::max(QuietLeft, MinRetryAfter);
+Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left) {
+  if (Reason == PlacementFailure::Quiet ||
+      Reason == PlacementFailure::Unreachable)
+    return std::max(Left, MinRetryAfter);
   Duration Expected =
       Reason == PlacementFailure::Absent ? GroupRepairTime : OverloadDuration;
   auto Latest =
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -44,6 +44,10 @@
   Report.ClaimedPlaces[{PoolService, "large"}] = {
       {{0, OrganisationId("o-1")}, {3, 1, 4.5}},
       {{2, OrganisationId()}, {1, 0, 0.25, 7}}};
+  Report.Reach = {
+      {ZoneId("south"),
+       {TimePoint{seconds(7)}, TimePoint{seconds(6)}, TimePoint{seconds(8)}}},
+      {ZoneId("west"), {{}, {}, TimePoint{seconds(8)}}}};
   return Report;
 }
 
