Limit upstreams that start or recover by how they answer

A group that fails, lies about its health or returns got either nothing or all that its empty places invite: the share of failed requests in its score kept it idle while others were better, and nothing bounded what all entries sent in the time that reports take. Limits/UpstreamPace finds one limit over all entries from answers and failures; the entries tell theirs with the loads, and each sends its part of the room. Off by default ([pace] enabled).

--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -24,6 +24,9 @@
 //   limit_mb = 260                # of this process on its machine; by default
 //                                 # the variable MEMORY_LIMIT_MB, or 160
 //   held_share = 0.6              # of the limit, for bytes held for requests
+//   [pace]
+//   enabled = false               # limit upstreams that start or recover by
+//                                 # how they answer
 #ifndef SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 #define SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 
@@ -50,6 +53,7 @@
   Duration Drain = seconds(2);
   double MemoryLimitMb = 160; // a megabyte has 1,000,000 bytes
   double HeldShare = 0.6;     // of MemoryLimitMb
+  bool PaceEnabled = false;   // see Limits/UpstreamPace
 
   bool operator==(const ServingSettings &) const = default;
 };
--- a/include/samphirehill/Serving/Fleet.h
+++ b/include/samphirehill/Serving/Fleet.h
@@ -91,6 +91,9 @@
   bool operator==(const UpstreamKey &) const = default;
 };
 
+// Returns a hash of Key, equal in all processes.
+std::uint64_t upstreamHash(const UpstreamKey &Key);
+
 // A replica group or a plain service instance that requests can be sent to.
 struct Upstream {
   UpstreamKey Key;
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -21,6 +21,7 @@
 #include "samphirehill/Serving/ServingMetrics.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 #include "samphirehill/Serving/UpstreamExchange.h"
+#include "samphirehill/Serving/UpstreamPacing.h"
 
 #include <asio/io_context.hpp>
 #include <functional>
@@ -186,6 +187,7 @@
   PartSuspects Suspects;
   BlameStore Blames;
   std::set<PromptPart> BlamedParts; // as last logged
+  ShownPaces Paces;
   std::shared_ptr<const Configuration> Config;
   RequestFlows Flows;
   CallerServer Callers;
--- a/include/samphirehill/Serving/ServingMetrics.h
+++ b/include/samphirehill/Serving/ServingMetrics.h
@@ -42,6 +42,9 @@
       std::pair<std::string_view, std::string_view>>; // name and value
   void set(std::string_view Name, Labels Labels, double Value);
 
+  // Removes the gauge Name with all combinations of labels.
+  void clear(std::string_view Name);
+
   // Returns all metrics in the exposition format.
   std::string text() const;
 
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -8,8 +8,10 @@
 
 #include "samphirehill/Core/Ids.h"
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Limits/UpstreamPace.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/InstanceNotices.h"
+#include "samphirehill/Serving/UpstreamLoad.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,33 +35,6 @@
   auto operator<=>(const ServiceModel &) const = default;
 };
 
-// Load of one upstream, caused by one entry or summed over several.
-struct UpstreamLoad {
-  int Running = 0; // requests
-  // Prompt tokens of the running requests that have not sent their first event.
-  // The engine processes prompts one after the other, so these tokens delay the
-  // first event of every later request.
-  std::int64_t PendingTokens = 0;
-  // StalledBy counts the entries whose requests at the upstream have made no
-  // progress for a while, MovingBy the entries that have just seen a request
-  // make progress. The numbers are compared, as a single entry's request may
-  // only be slow.
-  int StalledBy = 0;
-  int MovingBy = 0;
-
-  bool operator==(const UpstreamLoad &) const = default;
-};
-
-// Adds Load to Sum.
-UpstreamLoad &operator+=(UpstreamLoad &Sum, const UpstreamLoad &Load);
-// Subtracts Load from Sum; no member falls below zero.
-UpstreamLoad &operator-=(UpstreamLoad &Sum, const UpstreamLoad &Load);
-
-// Return whether more of the entries that Load sums up report the upstream as
-// stalled than as making progress, or the reverse. Both are false for a tie.
-bool reportedStalled(const UpstreamLoad &Load);
-bool reportedProgressing(const UpstreamLoad &Load);
-
 struct UpstreamState {
   Upstream Info;
   UpstreamLoad OwnLoad;
@@ -75,6 +50,11 @@
   double FailureShare = 0;  // moving average of failed requests, 0 to 1
   double ColdTokens = 0;    // token bucket for requests while it is cold
   TimePoint ColdTokensAt{}; // when ColdTokens was last updated
+  UpstreamPace FoundPace;   // from the answers to this entry
+  // Number of the window of the reports' age in which this entry last sent a
+  // request there, and how many it has sent in it.
+  std::int64_t SentWindow = 0;
+  int SentInWindow = 0;
 };
 
 // Settings of the placement, and what this entry knows of its peers. Upstreams
@@ -135,6 +115,7 @@
   // to it; rendezvous hashing selects them.
   std::vector<EntryId> Others;
   EntryId Self;
+  PaceSettings Pace;
 };
 
 // A request to be placed.
@@ -158,6 +139,7 @@
   // to 1.
   double DemandShare = 1.0;
   bool Late = false; // can no longer meet its objective
+  bool Repeatable = true; // may run twice
   // An upstream has already worked on the request, so it may take any free
   // slot.
   bool Begun = false;
@@ -167,23 +149,15 @@
   TimePoint NowWithSuspension{}; // on the clock of InstanceNotices
 };
 
-// Returns the expected time to the first event of a request with PromptTokens
-// at an upstream with Load. The engine processes prompts in the order of their
-// arrival, one chunk in each pass, and each pass also advances all running
-// requests. Pace is a factor on the engine's times.
-Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
-                            const EngineShape &Engine, double Pace);
-
-// Returns the expected time between two events of a request at an upstream with
-// Load.
-Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
-                     double Pace);
-
 // All upstreams that this entry may use, with their state.
 struct UpstreamBook {
   PlacementLimits Limits;
   std::map<UpstreamKey, UpstreamState> Upstreams;
   InstanceNotices Notices;
+  // Whether the upstreams have been listed. Those of the first list are at full
+  // pace, as the other entries use them already.
+  bool Listed = false;
+  TimePoint PacesUpdatedAt{}; // see followReportedPaces
   // Lives of instances that have ended, as far as is known, while the platform
   // still lists them; and until when that is believed.
   std::map<InstanceLife, TimePoint> Ended;
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -36,6 +36,9 @@
   double MinStartFraction = 0.25;
 };
 
+// Returns the name of Reason in the log.
+const char *toString(PlacementFailure Reason);
+
 // Returns how long a request may wait. Reason says why no upstream can take
 // it; TimeLeft is the caller's remaining time when the wait began.
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -94,6 +94,9 @@
     readRetries(Root.table("retries"), Value);
     readTimes(Root.table("times"), Value);
     readMemory(Root.table("memory"), Value);
+    TableReader Pace = Root.table("pace");
+    Value.PaceEnabled = Pace.boolean("enabled", Value.PaceEnabled);
+    Pace.refuseUnknownKeys();
     Root.refuseUnknownKeys();
   }
   if (!Found.empty())
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -3,6 +3,7 @@
 #include "generated/entry_state.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace samphirehill::serving {
@@ -115,6 +116,14 @@
   return Report;
 }
 
+ToldPace decodePace(const wire::UpstreamLoad &Load) {
+  double Slots = Load.paced_slots();
+  constexpr std::uint32_t MostEntries = 100'000;
+  if (!std::isfinite(Slots) || Slots < 0 || Load.paced_by() > MostEntries)
+    return {};
+  return {Slots, static_cast<int>(Load.paced_by())};
+}
+
 void encode(const EntryReport &Report, TimePoint Now, wire::EntryState &State) {
   State.set_entry(Report.Entry.str());
   State.set_incarnation(Report.Life);
@@ -131,6 +140,8 @@
     Added.set_pending_tokens(static_cast<std::uint32_t>(Load.PendingTokens));
     Added.set_stalled_by(static_cast<std::uint32_t>(Load.StalledBy));
     Added.set_moving_by(static_cast<std::uint32_t>(Load.MovingBy));
+    Added.set_paced_slots(static_cast<float>(Load.Pace.Slots));
+    Added.set_paced_by(static_cast<std::uint32_t>(Load.Pace.Entries));
   }
   for (const BreakOff &Each : Report.BreakOffs) {
     wire::BreakOff &Added = *State.add_break_offs();
@@ -185,7 +196,8 @@
     Report.Loads[{InstanceId(Each.instance()), Each.epoch()}] = {
         static_cast<int>(Each.running()), Each.pending_tokens(),
         static_cast<int>(Each.stalled_by()),
-        static_cast<int>(Each.moving_by())};
+        static_cast<int>(Each.moving_by()),
+        decodePace(Each)};
   }
   for (const wire::BreakOff &Each : State.break_offs())
     Report.BreakOffs.push_back(
--- a/lib/Serving/Fleet.cpp
+++ b/lib/Serving/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/Fleet.h"
 
+#include "samphirehill/Core/Hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -33,6 +35,11 @@
 
 } // namespace
 
+std::uint64_t upstreamHash(const UpstreamKey &Key) {
+  return combineHashes(hashBytes(Key.Instance.str()),
+                       static_cast<std::uint64_t>(Key.Epoch));
+}
+
 std::string groupName(const std::string &Model, std::int64_t Number) {
   return Model + "." + std::to_string(Number);
 }
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/Placement.h"
 
+#include "samphirehill/Serving/UpstreamPacing.h"
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
@@ -110,27 +112,13 @@
   if (isCold(State, Query.ColdPerSecond, Now) &&
       !mayTakeWhileCold(State, Book.Limits, Query.ColdPerSecond, Now))
     return false;
+  if (!mayTakeAtItsPace(Book, State, Query, Now))
+    return false;
   // A stalled group makes no progress: the request does better at another
   // upstream, or waiting.
   return Now >= State.AvoidUntil || State.Avoid != AvoidReason::Stalled;
 }
 
-// Returns how long a request occupies its slot at an upstream with Load, in
-// seconds.
-double holdingSeconds(const UpstreamState &State, UpstreamLoad Load,
-                      const PlacementQuery &Query,
-                      const PlacementLimits &Limits) {
-  if (!Query.Engine)
-    return toSeconds(Limits.PlainRequestTime);
-  double Pace = State.Info.Pace;
-  double First = toSeconds(
-      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
-  double Events = static_cast<double>(Query.OutputTokens) /
-                  std::max(Query.Engine->EventSteps, 1);
-  Load.PendingTokens = 0;
-  return First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
-}
-
 // Slots of one ServiceModel, and the requests in them.
 struct Occupancy {
   double Target = 0; // slots that the entries together may fill
@@ -272,6 +260,17 @@
   if (Candidates.empty() ||
       (SharesSlots && usesItsShare(Occupied, Query, Book.Limits)))
     return Result;
+  auto HasBetterScore = [](const Candidate &A, const Candidate &B) {
+    return A.Score < B.Score;
+  };
+  const Candidate &BestNow =
+      *std::min_element(Candidates.begin(), Candidates.end(), HasBetterScore);
+  // The part of a limited upstream that this entry may use already accounts for
+  // what the peers send there.
+  if (isLimited(Book.Limits.Pace, pacedUpstream(*BestNow.State), Now)) {
+    Result.Chosen = BestNow.State->Info.Key;
+    return Result;
+  }
   double Horizon =
       Book.Limits.LevelingHorizon * toSeconds(Book.Limits.ReportAge);
   int PeerRequests =
@@ -279,10 +278,7 @@
   const Candidate &Best =
       PeerRequests > 0
           ? chooseAmongPeers(Candidates, PeerRequests, Query, Book.Limits)
-          : *std::min_element(Candidates.begin(), Candidates.end(),
-                              [](const Candidate &A, const Candidate &B) {
-                                return A.Score < B.Score;
-                              });
+          : BestNow;
   Result.Chosen = Best.State->Info.Key;
   return Result;
 }
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -3,6 +3,7 @@
 #include "samphirehill/Core/Hash.h"
 #include "samphirehill/Serving/EventSplitter.h"
 #include "samphirehill/Serving/Placement.h"
+#include "samphirehill/Serving/UpstreamPacing.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -27,18 +28,6 @@
 // Other entries serve while this one stops.
 constexpr Duration StoppingRetryDelay{};
 
-const char *toString(PlacementFailure Reason) {
-  switch (Reason) {
-  case PlacementFailure::Absent:
-    return "absent";
-  case PlacementFailure::Full:
-    return "full";
-  case PlacementFailure::Quiet:
-    return "quiet";
-  }
-  return "unknown";
-}
-
 // Returns whether the body of an answer may be an event stream.
 bool mayHoldEvents(const HttpResponse &Head) {
   const std::string *Type = findHeader(Head.Headers, "content-type");
@@ -51,11 +40,6 @@
   return fmt::format("{:x}", fmt::join(Parts, ","));
 }
 
-std::uint64_t upstreamHash(const UpstreamKey &Key) {
-  return combineHashes(hashBytes(Key.Instance.str()),
-                       static_cast<std::uint64_t>(Key.Epoch));
-}
-
 } // namespace
 
 enum class FlowState {
@@ -327,6 +311,7 @@
     Query.Draw = Owner.randomFraction();
     Query.NowWithSuspension = shared().Timers.nowWithSuspension();
     Query.ColdPerSecond = Shape->ColdPerSecond;
+    Query.Repeatable = isRepeatable(*MatchedRoute);
     Query.Tried = Tried;
     Query.ExtraSlots = Shape->Engine ? 0 : Owner.Settings.PlainServiceQueue;
     if (Shape->Engine) {
@@ -497,6 +482,8 @@
       noteSound();
     if (AwaitsFirst) {
       noteFirstEvent(Owner.FirstEventTimes[serviceModel()], Now - AttemptStart);
+      noteAnswered(shared().Book, *CurrentUpstream, AttemptStart, ExpectedFirst,
+                   Now);
       noteFirstEventOrEnd();
     } else if (Shape->Engine)
       noteGap(shared().Book, *CurrentUpstream, Now - LastEventAt,
@@ -504,6 +491,16 @@
     LastEventAt = Now;
   }
 
+  // Records a complete answer, or the failure to give one.
+  void noteOutcome(bool Success, bool Failed) {
+    if (Success)
+      noteAnswered(shared().Book, *CurrentUpstream, AttemptStart,
+                   Duration::zero(), now());
+    if (Failed)
+      noteUpstreamFailed(shared().Book, *CurrentUpstream, PaceCause::Failed,
+                         now());
+  }
+
   // Records, once for each attempt, that the engine which began to answer this
   // request lives on.
   void noteSound() {
@@ -632,6 +629,7 @@
     if (Success)
       noteSound();
     UpstreamKey Key = *CurrentUpstream;
+    noteOutcome(Success, Failed);
     endAttempt(Failed);
     if (Failed && isRepeatable(*MatchedRoute) && retryAfterFailure(Key))
       return;
@@ -670,8 +668,8 @@
                  Facts.Id, Key.Instance.str(), Collected.Status);
     endAttempt(false);
     ReachedUpstream = true;
-    avoidUpstream(shared().Book, Key, AvoidReason::Refusing,
-                  now() + Owner.Settings.RefusingAvoidance);
+    avoidAndSlow(shared().Book, Key, AvoidReason::Refusing,
+                 Owner.Settings.RefusingAvoidance, now());
     Tried.insert(Key);
     if (!retry("refused"))
       giveUp(ResultCode::UpstreamRefused, "upstream_refused");
@@ -696,12 +694,13 @@
     endAttempt(true);
     Tried.insert(Key);
     if (!Ran) {
-      avoidUpstream(shared().Book, Key, AvoidReason::Unreachable,
-                    now() + Owner.Settings.UnreachableAvoidance);
+      avoidAndSlow(shared().Book, Key, AvoidReason::Unreachable,
+                   Owner.Settings.UnreachableAvoidance, now());
       if (!retry("unreachable"))
         giveUp(ResultCode::NoUpstream, "unreachable");
       return;
     }
+    noteUpstreamFailed(shared().Book, Key, PaceCause::Failed, now());
     MayHaveRun = true;
     ReachedUpstream = true;
     ++Runs;
@@ -800,8 +799,8 @@
                    CurrentUpstream->Instance.str(), CurrentUpstream->Epoch,
                    toMilliseconds(Silence));
       shared().Metrics.count("upstream_changes", "to", "stalled");
-      avoidUpstream(shared().Book, *CurrentUpstream, AvoidReason::Stalled,
-                    Now + Owner.Settings.StallAvoidance);
+      avoidAndSlow(shared().Book, *CurrentUpstream, AvoidReason::Stalled,
+                   Owner.Settings.StallAvoidance, Now);
     }
     if (!Stalled &&
         Silence < std::max(Owner.Settings.RequestSilenceLimit, FirstEventWait))
@@ -825,6 +824,7 @@
                  Facts.Id, CurrentUpstream->Instance.str(), Why,
                  toMilliseconds(now() - LastProgressAt));
     Tried.insert(*CurrentUpstream);
+    noteOutcome(false, true);
     stopAttempt(true);
     ReachedUpstream = MayHaveRun = true;
     ++Runs;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -169,6 +169,7 @@
   Retries.Bounds = retryBounds(Settings, AssumedEntries);
   Book.Limits.Entries = AssumedEntries;
   Book.Limits.Self = Settings.Entry;
+  Book.Limits.Pace.Enabled = Settings.PaceEnabled;
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
   Pool.bytes()->OnEnd = [&Metrics](ByteUse Use, std::size_t Bytes) {
     Metrics.count("held_bytes_ended", "use", toString(Use));
@@ -468,6 +469,7 @@
     Own.StalledBy =
         State.Avoid == AvoidReason::Stalled && Now < State.AvoidUntil;
     Own.MovingBy = Now - State.LastAnswerAt <= ProgressMaxAge;
+    Own.Pace = toldPace(State, Book.Limits.Pace, Now);
     if (Own != UpstreamLoad{})
       Report.Loads[Key] = Own;
   }
@@ -571,6 +573,7 @@
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
   TimePoint Now = Timers.now();
+  followReportedPaces(Book, Now);
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
     // evidence than the other entries' reports.
@@ -671,6 +674,7 @@
   }
   for (const InstanceId &Id : Expired)
     removeInstance(Id);
+  showPaces(Paces, Book, Metrics, Now);
   Metrics.set("requests_active", static_cast<double>(Flows.activeCount()));
   Metrics.set("held_bytes", static_cast<double>(Pool.bytes()->heldBytes()));
   Metrics.set("caller_connections",
--- a/lib/Serving/ServingMetrics.cpp
+++ b/lib/Serving/ServingMetrics.cpp
@@ -30,6 +30,13 @@
   Gauges[fmt::format("samphirehill_{}{{{}}}", Name, Joined)] = Value;
 }
 
+void ServingMetrics::clear(std::string_view Name) {
+  std::string Start = fmt::format("samphirehill_{}{{", Name);
+  std::erase_if(Gauges, [&](const auto &Each) {
+    return Each.first.starts_with(Start);
+  });
+}
+
 std::string ServingMetrics::text() const {
   std::string Text;
   for (const auto &[Name, Value] : Counters)
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include "samphirehill/Core/Hash.h"
+#include "samphirehill/Serving/UpstreamPacing.h"
 
 #include <algorithm>
 #include <cmath>
@@ -47,13 +48,6 @@
   return Before < Allowed;
 }
 
-// Returns the time between two events of the running requests, without the
-// processing of prompts.
-double generationSeconds(const UpstreamLoad &Load, const EngineShape &Engine) {
-  return Engine.EventSteps * (toSeconds(Engine.Step) +
-                              toSeconds(Engine.StepPerRequest) * Load.Running);
-}
-
 } // namespace
 
 bool isCold(const UpstreamState &State, double PerSecond, TimePoint Now) {
@@ -114,57 +108,16 @@
          quietUntil(Book.Notices, Life) <= NowWithSuspension;
 }
 
-UpstreamLoad &operator+=(UpstreamLoad &Sum, const UpstreamLoad &Load) {
-  Sum.Running += Load.Running;
-  Sum.PendingTokens += Load.PendingTokens;
-  Sum.StalledBy += Load.StalledBy;
-  Sum.MovingBy += Load.MovingBy;
-  return Sum;
-}
-
-UpstreamLoad &operator-=(UpstreamLoad &Sum, const UpstreamLoad &Load) {
-  Sum.Running = std::max(Sum.Running - Load.Running, 0);
-  Sum.PendingTokens =
-      std::max<std::int64_t>(Sum.PendingTokens - Load.PendingTokens, 0);
-  Sum.StalledBy = std::max(Sum.StalledBy - Load.StalledBy, 0);
-  Sum.MovingBy = std::max(Sum.MovingBy - Load.MovingBy, 0);
-  return Sum;
-}
-
-bool reportedStalled(const UpstreamLoad &Load) {
-  return Load.StalledBy > Load.MovingBy;
-}
-
-bool reportedProgressing(const UpstreamLoad &Load) {
-  return Load.MovingBy > Load.StalledBy;
-}
-
-Duration expectedFirstEvent(const UpstreamLoad &Load, std::int64_t PromptTokens,
-                            const EngineShape &Engine, double Pace) {
-  double Tokens = static_cast<double>(Load.PendingTokens + PromptTokens);
-  double Passes = std::ceil(Tokens / static_cast<double>(Engine.TokensPerPass));
-  double Seconds = Tokens / std::max(Engine.PromptTokensPerSecond, 1.0) +
-                   std::max(Passes, 1.0) * generationSeconds(Load, Engine);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds * Pace));
-}
-
-Duration expectedGap(const UpstreamLoad &Load, const EngineShape &Engine,
-                     double Pace) {
-  auto Read = static_cast<double>(
-      std::min<std::int64_t>(Load.PendingTokens, Engine.TokensPerPass));
-  double Seconds = generationSeconds(Load, Engine) +
-                   Read / std::max(Engine.PromptTokensPerSecond, 1.0);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds * Pace));
-}
-
 void updateUpstreams(UpstreamBook &Book, const std::vector<Upstream> &Usable) {
   std::set<UpstreamKey> Present;
   for (const Upstream &Each : Usable) {
     Present.insert(Each.Key);
-    Book.Upstreams[Each.Key].Info = Each;
+    auto [Found, Added] = Book.Upstreams.try_emplace(Each.Key);
+    Found->second.Info = Each;
+    if (Added && Book.Listed)
+      Found->second.FoundPace = startedPace(Book.Limits.Pace, Each.Slots);
   }
+  Book.Listed = true;
   std::erase_if(Book.Upstreams, [&](const auto &Entry) {
     return !Present.contains(Entry.first);
   });
@@ -180,6 +133,7 @@
     State.LastProgress = Now;
   ++State.OwnLoad.Running;
   State.OwnLoad.PendingTokens += Query.PromptTokens;
+  countSent(State, Book.Limits, Now);
   if (!isCold(State, Query.ColdPerSecond, Now))
     return;
   State.ColdTokens =
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -40,6 +40,18 @@
 
 } // namespace
 
+const char *toString(PlacementFailure Reason) {
+  switch (Reason) {
+  case PlacementFailure::Absent:
+    return "absent";
+  case PlacementFailure::Full:
+    return "full";
+  case PlacementFailure::Quiet:
+    return "quiet";
+  }
+  return "unknown";
+}
+
 Duration maxWait(const WaitLimits &Limits, PlacementFailure Reason,
                  Duration TimeLeft) {
   double Fraction = Reason == PlacementFailure::Absent
--- a/test/Config/ServingSettingsTest.cpp
+++ b/test/Config/ServingSettingsTest.cpp
@@ -40,6 +40,16 @@
   EXPECT_EQ(Got.Drain, seconds(2));
 }
 
+TEST(ServingSettingsTest, SwitchesThePaceOffAndOn) {
+  for (bool Enabled : {false, true}) {
+    Outcome<ServingSettings> Read =
+        parse(Valid + "[pace]\nenabled = " + (Enabled ? "true" : "false"));
+    ASSERT_FALSE(errorOf(Read)) << errorOf(Read)->Message;
+    EXPECT_EQ(std::get<0>(Read).PaceEnabled, Enabled);
+  }
+  EXPECT_TRUE(errorOf(parse(Valid + "[pace]\nenable = true")));
+}
+
 TEST(ServingSettingsTest, BoundsHeldBytesByTheMemoryLimit) {
   auto Limit = [](const std::string &Toml, const std::string &Variable) {
     Outcome<ServingSettings> Read =
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -14,7 +14,8 @@
   Report.Sequence = 34;
   Report.Zone = ZoneId("north");
   Report.ConfigurationVersion = 56;
-  Report.Loads[{InstanceId("i-1"), 100'001}] = {3, 4'000, 1, 2};
+  Report.Loads[{InstanceId("i-1"), 100'001}] = {
+      3, 4'000, 1, 2, {12.5, 2}};
   Report.Loads[{InstanceId("i-2"), 100'002}] = {0, 0, 1, 0};
   Report.BreakOffs = {{7, 8, TimePoint{seconds(9)}}};
   Report.DutyTerm = 2;
@@ -61,12 +62,12 @@
   EntryReport Other;
   Other.Entry = EntryId("edge-2");
   Other.Sequence = 7;
-  Other.Loads[{InstanceId("i-1"), 100'001}] = {2, 500};
+  Other.Loads[{InstanceId("i-1"), 100'001}] = {2, 500, 0, 0, {20, 1}};
   Other.DutyTerm = 1;
   Other.DutyRenewal = 99;
   addToSummary(Sum, Other);
   EXPECT_EQ(Sum.Loads.at({InstanceId("i-1"), 100'001}),
-            (UpstreamLoad{5, 4'500, 1, 2}));
+            (UpstreamLoad{5, 4'500, 1, 2, {32.5, 3}}));
   EXPECT_EQ(Sum.DutyTerm, 2);
   EXPECT_EQ(Sum.Included.at(EntryId("edge-2")), 7u);
 }
