Keep upstreams that fail in part at full pace, and probe past hung requests

A mean of half of the slots told is full pace now; a probed upstream gets its probes whatever is in progress; late answers show at full pace that the upstream works.

Tests: ServingTests 273 and LimitsTests 118 passed.

--- a/lib/Limits/UpstreamPace.cpp
+++ b/lib/Limits/UpstreamPace.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 // A mean of the told limits above this share of the slots counts as full pace:
-// single requests fail at any upstream.
-constexpr double FullShare = 0.75;
+// what an upstream that fails a part of its requests serves is worth more than
+// what is lost by trying these again.
+constexpr double FullShare = 0.5;
 
 bool isRecent(TimePoint At, const PaceSettings &Settings, TimePoint Now) {
   return At != TimePoint{} && Now - At <= Settings.EvidenceAge;
@@ -79,13 +80,13 @@
                              const PacedUpstream &Upstream, TimePoint SentAt,
                              TimePoint Now) {
   UpstreamPace After = Upstream.Own;
-  double Used = std::max({agreedLimit(Settings, Upstream, Now),
-                          Settings.ProbeLimit,
-                          static_cast<double>(Upstream.Running)});
   After.AnsweredAt = Now;
   ++After.Answers;
   if (After.State == PaceState::Full)
     return After;
+  bool FullForOthers = Upstream.Told.Entries > 0 && !isLimitTold(Upstream);
+  double Used =
+      std::max(agreedLimit(Settings, Upstream, Now), Settings.ProbeLimit);
   if (After.Limit >= After.Threshold) {
     ++After.Limit;
   } else if (SentAt >= After.RaisedAt) {
@@ -95,7 +96,7 @@
   }
   bool Trusted = After.Cause != PaceCause::Refused &&
                  After.Answers >= Settings.AnswersToTrust;
-  bool Full = After.Limit >= Upstream.Slots || Trusted;
+  bool Full = After.Limit >= Upstream.Slots || Trusted || FullForOthers;
   return Full ? fullPace(After) : After;
 }
 
@@ -114,13 +115,16 @@
   After.Answers = 0;
   After.FailedAt = Now;
   // A refusal tells the load that was too much. Other failures tell nothing
-  // about the load that the upstream bears once it works again.
-  double Half = std::min<double>(Before, Upstream.Running) / 2;
-  After.Threshold =
-      std::max(Refused ? Half : Upstream.Slots / 2.0, Settings.ProbeLimit);
-  After.Limit = Refused ? After.Threshold
-                        : std::clamp(Before / 2, Settings.MinLimit,
-                                     Settings.ProbeLimit);
+  // about the load that the upstream bears once it works again, but it may
+  // fail again.
+  After.Threshold = std::max(Upstream.Slots / 2.0, Settings.ProbeLimit);
+  After.Limit =
+      std::clamp(Before / 2, Settings.MinLimit, Settings.ProbeLimit);
+  if (Refused) {
+    After.Threshold = std::max(std::min<double>(Before, Upstream.Running) / 2,
+                               Settings.ProbeLimit);
+    After.Limit = After.Threshold;
+  }
   After.RaisedAt = Now;
   return After;
 }
@@ -194,10 +198,8 @@
   // that is probed, requests in progress may hang, so they take none.
   double Turnovers = toSeconds(Request.ReportAge) /
                      std::max(toSeconds(Request.Holding), 1e-3);
-  double Room = Probed ? Limit
-                       : std::max(Limit * (1 + Turnovers) - Upstream.Running,
-                                  0.0) +
-                             Request.SentInWindow;
+  double Free = std::max(Limit * (1 + Turnovers) - Upstream.Running, 0.0);
+  double Room = Probed ? Limit : Free + Request.SentInWindow;
   double Part = Request.Share * Room;
   // A part of a request is lost in windows in which no request comes.
   if (Part < 1)
--- a/lib/Serving/UpstreamPacing.cpp
+++ b/lib/Serving/UpstreamPacing.cpp
@@ -122,10 +122,14 @@
 void noteAnswered(UpstreamBook &Book, const UpstreamKey &Key, TimePoint SentAt,
                   Duration Expected, TimePoint Now) {
   auto Found = Book.Upstreams.find(Key);
-  if (Found == Book.Upstreams.end() ||
-      !isAsExpected(Book.Limits.Pace, Now - SentAt, Expected))
+  if (Found == Book.Upstreams.end())
     return;
   UpstreamState &State = Found->second;
+  // A late answer is no reason to send more, but at full pace it shows that the
+  // upstream works.
+  if (State.FoundPace.State != PaceState::Full &&
+      !isAsExpected(Book.Limits.Pace, Now - SentAt, Expected))
+    return;
   State.FoundPace =
       paceAfterAnswer(Book.Limits.Pace, pacedUpstream(State), SentAt, Now);
 }
