--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -31,6 +31,9 @@
 //   [groups]
 //   shares = "demand"             # of the engines, by model: follow the
 //                                 # demand, or "stated" in the configuration
+//   [pace]
+//   enabled = false               # limit upstreams that start or recover by
+//                                 # how they answer
 #ifndef SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 #define SAMPHIREHILL_CONFIG_SERVINGSETTINGS_H
 
@@ -67,6 +70,7 @@
   bool FairShares = true;
   double RankFloor = 0.05;
   double OrganisationFloor = 0;
+  bool PaceEnabled = false; // see Limits/UpstreamPace
 
   bool operator==(const ServingSettings &) const = default;
 };
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -113,6 +113,9 @@
     readMemory(Root.table("memory"), Value);
     readGroups(Root.table("groups"), Value);
     readShares(Root.table("shares"), Value);
+    TableReader Pace = Root.table("pace");
+    Value.PaceEnabled = Pace.boolean("enabled", Value.PaceEnabled);
+    Pace.refuseUnknownKeys();
     Root.refuseUnknownKeys();
   }
   if (!Found.empty())
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -1,6 +1,8 @@
 #include "samphirehill/Serving/Placement.h"
 #include "PlacementScore.h"
 
+#include "samphirehill/Serving/UpstreamPacing.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -47,6 +49,8 @@
   if (isCold(State, Query.ColdPerSecond, Now) &&
       !mayTakeWhileCold(State, Book.Limits, Query.ColdPerSecond, Now))
     return false;
+  if (!mayTakeAtItsPace(Book, State, Query, Now))
+    return false;
   // A stalled group makes no progress: the request does better at another
   // upstream, or waiting.
   return Now >= State.AvoidUntil || State.Avoid != AvoidReason::Stalled;
@@ -255,6 +259,17 @@
                              usesItsShare(Occupied, Query, Book.Limits)))
     return Result;
   double Draw = keepOneZone(Candidates, Rooms, Query, Book.Limits);
+  auto HasBetterScore = [](const Candidate &A, const Candidate &B) {
+    return A.Score < B.Score;
+  };
+  const Candidate &BestNow =
+      *std::min_element(Candidates.begin(), Candidates.end(), HasBetterScore);
+  // The part of a limited upstream that this entry may use already accounts for
+  // what the peers send there.
+  if (isLimited(Book.Limits.Pace, pacedUpstream(*BestNow.State), Now)) {
+    Result.Chosen = BestNow.State->Info.Key;
+    return Result;
+  }
   double Horizon =
       Book.Limits.LevelingHorizon * toSeconds(Book.Limits.ReportAge);
   int PeerRequests =
@@ -262,10 +277,7 @@
   const Candidate &Best =
       PeerRequests > 0
           ? chooseAmongPeers(Candidates, PeerRequests, Draw, Query, Book.Limits)
-          : *std::min_element(Candidates.begin(), Candidates.end(),
-                              [](const Candidate &A, const Candidate &B) {
-                                return A.Score < B.Score;
-                              });
+          : BestNow;
   Result.Chosen = Best.State->Info.Key;
   return Result;
 }
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -188,6 +188,7 @@
   Book.Limits.ManyEntries = true;
   Book.Limits.ReportAge = AssumedReportAge;
   Book.Limits.Self = Settings.Entry;
+  Book.Limits.Pace.Enabled = Settings.PaceEnabled;
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
   Pool.bytes()->OnEnd = [&Metrics](ByteUse Use, std::size_t Bytes) {
     Metrics.count("held_bytes_ended", "use", toString(Use));
@@ -489,6 +490,7 @@
     Own.StalledBy =
         State.Avoid == AvoidReason::Stalled && Now < State.AvoidUntil;
     Own.MovingBy = Now - State.LastAnswerAt <= ProgressMaxAge;
+    Own.Pace = toldPace(State, Book.Limits.Pace, Now);
     if (Own != UpstreamLoad{})
       Report.Loads[Key] = Own;
   }
@@ -599,6 +601,7 @@
   TimePoint Now = Timers.now();
   Groups.noteWork(Peers.workOfOtherEntries(),
                   workAsked(Flows.workRates(), Settings.Zone, Now));
+  followReportedPaces(Book, Now);
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
     // evidence than the other entries' reports.
@@ -702,6 +705,7 @@
   }
   for (const InstanceId &Id : Expired)
     removeInstance(Id);
+  showPaces(Paces, Book, Metrics, Now);
   Metrics.set("requests_active", static_cast<double>(Flows.activeCount()));
   Metrics.set("held_bytes", static_cast<double>(Pool.bytes()->heldBytes()));
   Metrics.set("caller_connections",
