Leave no place to late requests that may not take it

A request within its organisation's share that can no longer meet its objective waits behind the entry's reserve for requests that can. While it was reported as waiting, other entries left free places to it that it did not take.

--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -154,6 +154,8 @@
       yieldPlace(Owner.Shares, Claim, Found, now(), shared().Metrics);
     LastReason = Found.Reason;
     QuietUntil = Found.QuietUntil;
+    if (!Found.Chosen && Query.Late) // may not take what others leave to it
+      moveTo(Owner.Shares, Claim, ClaimPhase::None);
     if (!Found.Chosen)
       return false;
     if (ReachedUpstream && !takeRetry(shared().Retries, Shape->Id, now())) {
@@ -195,7 +197,6 @@
   void beginWaiting() {
     State = FlowState::Waiting;
     WaitStart = now();
-    moveTo(Owner.Shares, Claim, ClaimPhase::Waiting);
     spdlog::info("event=queued request={} reason={} candidates_tried={}",
                  Facts.Id, toString(LastReason), Tried.size());
   }
