--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -936,6 +936,31 @@
   EXPECT_EQ(Own[(ClaimKey{5, OrganisationId()})].Waiting, 0);
 }
 
+// A caller that was refused before returns with less time than it first had.
+TEST_F(RequestFlowTest, ReportsNoLateRequestAsWaitingForItsShare) {
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
+  });
+  addRoute("/urgent/", RequestKind::Stream, PoolService, true);
+  Routes.back().Objective = milliseconds(200);
+  send("/urgent/");
+  ASSERT_TRUE(awaitAnswer("data: x"));
+  Book.Upstreams.begin()->second.PeerLoad.Running = 4;
+  ServiceModel Kind{PoolService, "large"};
+  ClaimKey Key{5, OrganisationId()};
+  auto Waiting = [&](Duration Timeout) {
+    Routes.back().Timeout = Timeout;
+    send("/urgent/");
+    runUntil(Context, [&] { return Flows.activeCount() == 1; });
+    int Count =
+        claimedWork(Flows.shares(), Timers.now(), Metrics)[Kind][Key].Waiting;
+    runUntil(Context, [&] { return Flows.activeCount() == 0; });
+    return Count;
+  };
+  EXPECT_EQ(Waiting(seconds(3)), 1);
+  EXPECT_EQ(Waiting(seconds(2)), 0);
+}
+
 TEST_F(RequestFlowTest, RefusesUnknownRouteAndKey) {
   Routes[0].Anonymous = false;
   addEngine(PlainService, [](ScriptedConnection &, int) {});
