--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -160,6 +160,8 @@
       yieldPlace(Owner.Shares, Claim, Found, now(), shared().Metrics);
     LastReason = Found.Reason;
     RetryAt = Found.RetryAt;
+    if (!Found.Chosen && Query.Late) // may not take what others leave to it
+      moveTo(Owner.Shares, Claim, ClaimPhase::None);
     if (!Found.Chosen)
       return false;
     if (ReachedUpstream && !takeRetry(shared().Retries, Shape->Id, now())) {
@@ -203,7 +205,6 @@
   void beginWaiting() {
     State = FlowState::Waiting;
     WaitStart = now();
-    moveTo(Owner.Shares, Claim, ClaimPhase::Waiting);
     spdlog::info("event=queued request={} reason={} candidates_tried={}",
                  Facts.Id, toString(LastReason), Tried.size());
   }
@@ -511,7 +512,7 @@
   }
 
   // Records a complete answer, or the failure to give one.
-  void noteOutcome(bool Success, bool Failed) {
+  void noteAttemptResult(bool Success, bool Failed) {
     if (Success)
       noteAnswered(shared().Book, *CurrentUpstream, AttemptStart,
                    Duration::zero(), now());
@@ -648,7 +649,7 @@
     if (Success)
       noteSound();
     UpstreamKey Key = *CurrentUpstream;
-    noteOutcome(Success, Failed);
+    noteAttemptResult(Success, Failed);
     endAttempt(Failed);
     if (Failed && isRepeatable(*MatchedRoute) && retryAfterFailure(Key))
       return;
@@ -846,7 +847,7 @@
                  Facts.Id, CurrentUpstream->Instance.str(), Why,
                  toMilliseconds(now() - LastProgressAt));
     Tried.insert(*CurrentUpstream);
-    noteOutcome(false, true);
+    noteAttemptResult(false, true);
     stopAttempt(true);
     ReachedUpstream = MayHaveRun = true;
     ++Runs;
