Let stalled upstreams be probed while other entries report the stall

With pace the limit that is told bounds what such an upstream gets, and the avoidance by reports no longer applies; without pace nothing changes.

Tests: ServingTests 273 passed.

--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -574,6 +574,10 @@
   Book.PeerDemand = Peers.demandOfOtherEntries();
   TimePoint Now = Timers.now();
   followReportedPaces(Book, Now);
+  // The pace that the others tell bounds what an upstream gets, and lets it be
+  // probed.
+  if (Book.Limits.Pace.Enabled)
+    return;
   for (const auto &[Key, State] : Book.Upstreams) {
     // The progress of this entry's own requests at the upstream is better
     // evidence than the other entries' reports.
