Give no group up while the list of instances is not up to date

The holder now gives no group up while neither a relay nor the store provides the list. New test: GivesNothingUpWhileTheListIsNotUpToDate.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -104,6 +104,9 @@
   // Records the work that callers ask all entries for, see DemandPlan.
   void noteWork(const WorkAsked &Elsewhere, const WorkAsked &Own);
 
+  // Records whether the list of instances is up to date.
+  void setListFollowed(bool Followed) { ListFollowed = Followed; }
+
   // Records that the peers have been listed.
   void setPeersKnown() { PeersKnown = true; }
 
@@ -214,6 +217,7 @@
   TimePoint StartedAt{};
   bool HeldDuty = false; // when last checked by stepLease
   bool PeersKnown = false;
+  bool ListFollowed = true;
   bool Stopping = false;
 };
 
--- a/include/samphirehill/Serving/GroupExchange.h
+++ b/include/samphirehill/Serving/GroupExchange.h
@@ -53,8 +53,11 @@
   // When engines last moved, by the models that gave and got them.
   std::map<std::pair<std::string, std::string>, TimePoint> MovedAt;
   std::map<std::string, UsableEngines> Usable; // by domain
-  std::vector<ModelSupply> Supplies;           // as of the last planning
-  std::vector<Exchange> Begun;                 // by the last planning
+  // Whether the list of instances is up to date. If not, no group is given up,
+  // as nobody would see it end.
+  bool ListFollowed = true;
+  std::vector<ModelSupply> Supplies; // as of the last planning
+  std::vector<Exchange> Begun;       // by the last planning
 };
 
 // What a planning run knows of the groups.
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -333,6 +333,7 @@
     State.FirstEpoch = Lease.Record.Term * EpochsPerTerm;
     State.NextEpoch = std::max(State.NextEpoch, State.FirstEpoch);
     State.Exchanges.Asked = workOfService(Work, Id);
+    State.Exchanges.ListFollowed = ListFollowed;
     std::map<std::string, ModelSummary> Before = State.Models;
     for (const GroupOrder &Order :
          planGroups(State, plannedInstances(Id), Service, First, Now))
--- a/lib/Serving/GroupExchange.cpp
+++ b/lib/Serving/GroupExchange.cpp
@@ -177,7 +177,8 @@
     Usable += Each.Count;
   std::optional<ModelWork> Work = plannedDemand(State.Demand, Settings, Now);
   State.Supplies = suppliesOf(View, Work.value_or(ModelWork{}));
-  if (Settings.Mode == ShareMode::Stated || View.FirstStart || !Work)
+  if (Settings.Mode == ShareMode::Stated || View.FirstStart || !Work ||
+      !State.ListFollowed)
     return;
   int InChange = 0;
   for (const auto &[Epoch, Each] : State.GivenUp)
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -573,6 +573,7 @@
   setPeerLoads(Book, Peers.loadOfOtherEntries());
   Book.PeerDemand = Peers.demandOfOtherEntries();
   TimePoint Now = Timers.now();
+  Groups.setListFollowed(Source != PlatformSource::None);
   Groups.noteWork(Peers.workOfOtherEntries(),
                   workAsked(Flows.workRates(), Settings.Zone, Now));
   for (const auto &[Key, State] : Book.Upstreams) {
--- a/test/Serving/GroupExchangeTest.cpp
+++ b/test/Serving/GroupExchangeTest.cpp
@@ -194,6 +194,17 @@
   EXPECT_TRUE(State.MovedAt.contains(Back));
 }
 
+// Seen on the bench: a group was given up while the store was away. Its engines
+// served nobody until the list of instances was up to date again.
+TEST_F(GroupExchangeTest, GivesNothingUpWhileTheListIsNotUpToDate) {
+  State.ListFollowed = false;
+  plan(seconds(10), MostlySmall);
+  EXPECT_TRUE(State.GivenUp.empty());
+  State.ListFollowed = true;
+  plan(seconds(1), MostlySmall);
+  EXPECT_EQ(State.GivenUp.size(), 1u);
+}
+
 // The demand turns while engines move. None moves back before the first change
 // has paid.
 RC_GTEST_FIXTURE_PROP(GroupExchangeTest, MovesNothingBackWithinTheRest, ()) {
