--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -599,6 +599,7 @@
   Book.PeerDemand = Peers.demandOfOtherEntries();
   setWorkOfOthers(Flows.shares(), Peers.claimsOfOtherEntries());
   TimePoint Now = Timers.now();
+  Groups.setListFollowed(Source != PlatformSource::None);
   Groups.noteWork(Peers.workOfOtherEntries(),
                   workAsked(Flows.workRates(), Settings.Zone, Now));
   followReportedPaces(Book, Now);
