--- a/include/samphirehill/Config/ServingSettings.h
+++ b/include/samphirehill/Config/ServingSettings.h
@@ -21,7 +21,9 @@
 //   grace = "8s"                  # from SIGTERM to the end of the process
 //   drain = "2s"                  # until a leaving instance gets nothing new
 //   [shares]                      # of places for which more requests wait
-//   enabled = true                # than there are places
+//   use = "priorities"            # than there are places: for services whose
+//                                 # routes differ in priority, "always" or
+//                                 # "never"
 //   rank_floor = 0.05             # of the places, for each priority
 //   organisation_floor = 0        # of the places in proportion to requests
 //   [memory]
@@ -47,6 +49,10 @@
 // that operators state.
 enum class ShareMode { Demand, Stated };
 
+// For which services organisations and priorities get fair shares of places
+// that are short.
+enum class ShareUse { DifferingPriorities, Always, Never };
+
 struct ServingSettings {
   EntryId Entry;
   ZoneId Zone;
@@ -65,9 +71,8 @@
   double MemoryLimitMb = 160; // a megabyte has 1,000,000 bytes
   double HeldShare = 0.6;     // of MemoryLimitMb
   ShareMode Shares = ShareMode::Demand;
-  // Whether organisations and priorities get fair shares of places that are
-  // short. See ShareSettings in Limits/FairShare.h for the floors.
-  bool FairShares = true;
+  // See ShareSettings in Limits/FairShare.h for the floors.
+  ShareUse FairShares = ShareUse::DifferingPriorities;
   double RankFloor = 0.05;
   double OrganisationFloor = 0;
   bool PaceEnabled = false; // see Limits/UpstreamPace
--- a/include/samphirehill/Serving/Configuration.h
+++ b/include/samphirehill/Serving/Configuration.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,6 +88,9 @@
 // organisation, or else the route's. Caller is null for anonymous requests.
 int priorityOf(const Route &Route, const Organisation *Caller);
 
+// Returns the services whose routes differ in priority.
+std::set<ServiceId> servicesWithPriorities(const Configuration &Config);
+
 // Chooses a service of Route by weight, where Unit is a random number uniform
 // in [0, 1). Returns nullptr if no service has a positive weight.
 const ServiceId *pickService(const Route &Route, double Unit);
--- a/include/samphirehill/Serving/PlaceShares.h
+++ b/include/samphirehill/Serving/PlaceShares.h
@@ -4,17 +4,21 @@
 #ifndef SAMPHIREHILL_SERVING_PLACESHARES_H
 #define SAMPHIREHILL_SERVING_PLACESHARES_H
 
+#include "samphirehill/Config/ServingSettings.h"
 #include "samphirehill/Limits/FairShare.h"
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/Placement.h"
 #include "samphirehill/Serving/ServingMetrics.h"
 
 #include <map>
+#include <set>
 
 namespace samphirehill::serving {
 
 struct PlaceShares {
+  ShareUse Use = ShareUse::DifferingPriorities;
   ShareSettings Settings;
+  std::set<ServiceId> Differing; // services whose routes differ in priority
   std::map<ServiceModel, PlaceClaims> Kinds;
   LabelBound Organisations; // of the metrics
 };
@@ -28,9 +32,8 @@
   bool HeldBack = false; // it has left a free place to others
 };
 
-// Returns how long a request holds a place of a full group of Model.
-Duration expectedHolding(const EngineShape &Engine, const ModelShape &Model,
-                         std::int64_t PromptTokens, std::int64_t OutputTokens);
+// Returns whether requests of Service get fair shares of its places.
+bool appliesTo(const PlaceShares &Shares, const ServiceId &Service);
 
 // Begins to count a request that will hold a place for Holding.
 CountedClaim countClaim(PlaceShares &Shares, ServiceModel Kind, ClaimKey Key,
--- a/include/samphirehill/Serving/UpstreamPacing.h
+++ b/include/samphirehill/Serving/UpstreamPacing.h
@@ -15,12 +15,6 @@
 // Returns what the limit of State's upstream depends on.
 PacedUpstream pacedUpstream(const UpstreamState &State);
 
-// Returns how long a request occupies its slot at an upstream with Load, in
-// seconds.
-double holdingSeconds(const UpstreamState &State, UpstreamLoad Load,
-                      const PlacementQuery &Query,
-                      const PlacementLimits &Limits);
-
 // Returns whether the upstream's pace lets this entry send the request now.
 bool mayTakeAtItsPace(const UpstreamBook &Book, const UpstreamState &State,
                       const PlacementQuery &Query, TimePoint Now);
--- a/lib/Config/ServingSettings.cpp
+++ b/lib/Config/ServingSettings.cpp
@@ -75,7 +75,13 @@
 
 void readShares(TableReader Shares, ServingSettings &Into) {
   constexpr double HighestFloor = 0.1; // ten priorities together keep all
-  Into.FairShares = Shares.boolean("enabled", Into.FairShares);
+  std::string Use = Shares.has("use") ? Shares.name("use") : "priorities";
+  if (Use == "always")
+    Into.FairShares = ShareUse::Always;
+  else if (Use == "never")
+    Into.FairShares = ShareUse::Never;
+  else if (Use != "priorities")
+    Shares.refuse("use", "\"priorities\", \"always\" or \"never\"");
   Into.RankFloor = Shares.number("rank_floor", 0, HighestFloor, Into.RankFloor);
   Into.OrganisationFloor =
       Shares.number("organisation_floor", 0, 1, Into.OrganisationFloor);
--- a/lib/Serving/Configuration.cpp
+++ b/lib/Serving/Configuration.cpp
@@ -4,6 +4,19 @@
 
 namespace samphirehill::serving {
 
+std::set<ServiceId> servicesWithPriorities(const Configuration &Config) {
+  std::map<ServiceId, int> First; // priority of the service's first route
+  std::set<ServiceId> Differing;
+  for (const SharedRoute &Route : Config.Routes.routes()) {
+    for (const WeightedService &Each : Route->Services) {
+      auto Found = First.try_emplace(Each.Service, Route->Priority).first;
+      if (Found->second != Route->Priority)
+        Differing.insert(Each.Service);
+    }
+  }
+  return Differing;
+}
+
 const ServiceId *pickService(const Route &Route, double Unit) {
   double Total = 0;
   for (const WeightedService &Each : Route.Services)
--- a/lib/Serving/PlaceShares.cpp
+++ b/lib/Serving/PlaceShares.cpp
@@ -22,15 +22,10 @@
 
 } // namespace
 
-Duration expectedHolding(const EngineShape &Engine, const ModelShape &Model,
-                         std::int64_t PromptTokens, std::int64_t OutputTokens) {
-  UpstreamLoad Full;
-  Full.Running = std::max(Engine.Slots - 1, 0);
-  double Events =
-      static_cast<double>(OutputTokens) / std::max(Engine.EventSteps, 1);
-  return expectedFirstEvent(Full, PromptTokens, Engine, Model.Pace) +
-         std::chrono::duration_cast<Duration>(
-             expectedGap(Full, Engine, Model.Pace) * Events);
+bool appliesTo(const PlaceShares &Shares, const ServiceId &Service) {
+  return Shares.Use == ShareUse::Always ||
+         (Shares.Use == ShareUse::DifferingPriorities &&
+          Shares.Differing.contains(Service));
 }
 
 CountedClaim countClaim(PlaceShares &Shares, ServiceModel Kind, ClaimKey Key,
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -112,7 +112,8 @@
                  Config->Version, toMilliseconds(Deadline - now()));
     if (refuseIfBlamed())
       return false;
-    if (const ModelShape *Model = findModel(*Shape, Facts.Model))
+    const ModelShape *Model = findModel(*Shape, Facts.Model);
+    if (Model && appliesTo(Owner.Shares, Shape->Id))
       claimPlace(*Model);
     return true;
   }
@@ -289,8 +290,11 @@
   void claimPlace(const ModelShape &Model) {
     OrganisationId Organisation =
         OwningOrganisation ? OwningOrganisation->Id : OrganisationId();
-    Duration Holding = expectedHolding(*Shape->Engine, Model,
-                                       Facts.PromptTokens, Facts.OutputTokens);
+    UpstreamLoad Full;
+    Full.Running = std::max(Shape->Engine->Slots - 1, 0);
+    Duration Holding =
+        expectedHolding(Full, Facts.PromptTokens, Facts.OutputTokens,
+                        *Shape->Engine, Model.Pace);
     Claim = countClaim(Owner.Shares, serviceModel(), {priority(), Organisation},
                        Holding, now());
   }
@@ -1013,6 +1017,7 @@
 void RequestFlows::setConfiguration(
     std::shared_ptr<const Configuration> Changed) {
   Config = std::move(Changed);
+  Shares.Differing = servicesWithPriorities(*Config);
   for (const std::shared_ptr<RequestFlow> &Flow :
        std::exchange(Unconfigured, {})) {
     if (Flow->state() != FlowState::Done)
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -122,7 +122,6 @@
 
 ShareSettings shareSettings(const ServingSettings &Settings) {
   ShareSettings Shares;
-  Shares.Enabled = Settings.FairShares;
   Shares.RankFloor = Settings.RankFloor;
   Shares.OrganisationFloor = Settings.OrganisationFloor;
   return Shares;
@@ -183,6 +182,7 @@
              this->Platform.Calls, groupSettings(Settings)),
       Life(static_cast<Incarnation>(
           Timers.wallNow().time_since_epoch().count())) {
+  Flows.shares().Use = Settings.FairShares;
   Retries.Bounds = retryBounds(Settings, AssumedEntries);
   Book.Limits.Entries = AssumedEntries;
   Book.Limits.ManyEntries = true;
@@ -802,6 +802,7 @@
   Settings.RankFloor = Changed.RankFloor;
   Settings.OrganisationFloor = Changed.OrganisationFloor;
   Flows.shares().Settings = shareSettings(Settings);
+  Flows.shares().Use = Settings.FairShares;
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
 }
 
--- a/lib/Serving/UpstreamPacing.cpp
+++ b/lib/Serving/UpstreamPacing.cpp
@@ -1,4 +1,5 @@
 #include "samphirehill/Serving/UpstreamPacing.h"
+#include "PlacementScore.h"
 
 #include "samphirehill/Core/Hash.h"
 
@@ -82,20 +83,6 @@
   return Request;
 }
 
-double holdingSeconds(const UpstreamState &State, UpstreamLoad Load,
-                      const PlacementQuery &Query,
-                      const PlacementLimits &Limits) {
-  if (!Query.Engine)
-    return toSeconds(Limits.PlainRequestTime);
-  double Pace = State.Info.Pace;
-  double First = toSeconds(
-      expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine, Pace));
-  double Events = static_cast<double>(Query.OutputTokens) /
-                  std::max(Query.Engine->EventSteps, 1);
-  Load.PendingTokens = 0;
-  return First + Events * toSeconds(expectedGap(Load, *Query.Engine, Pace));
-}
-
 bool mayTakeAtItsPace(const UpstreamBook &Book, const UpstreamState &State,
                       const PlacementQuery &Query, TimePoint Now) {
   const PlacementLimits &Limits = Book.Limits;
--- a/test/Config/ServingSettingsTest.cpp
+++ b/test/Config/ServingSettingsTest.cpp
@@ -74,15 +74,19 @@
 TEST(ServingSettingsTest, ReadsShares) {
   Outcome<ServingSettings> Default = parse(Valid);
   ASSERT_FALSE(errorOf(Default)) << errorOf(Default)->Message;
-  EXPECT_TRUE(std::get<0>(Default).FairShares);
+  EXPECT_EQ(std::get<0>(Default).FairShares, ShareUse::DifferingPriorities);
   Outcome<ServingSettings> Read =
-      parse(Valid + "[shares]\nenabled = false\nrank_floor = 0.02\n"
+      parse(Valid + "[shares]\nuse = \"never\"\nrank_floor = 0.02\n"
                     "organisation_floor = 0.5\n");
   ASSERT_FALSE(errorOf(Read)) << errorOf(Read)->Message;
-  EXPECT_FALSE(std::get<0>(Read).FairShares);
+  EXPECT_EQ(std::get<0>(Read).FairShares, ShareUse::Never);
   EXPECT_EQ(std::get<0>(Read).RankFloor, 0.02);
   EXPECT_EQ(std::get<0>(Read).OrganisationFloor, 0.5);
   EXPECT_TRUE(errorOf(parse(Valid + "[shares]\nrank_floor = 0.5\n")));
+  EXPECT_EQ(
+      std::get<0>(parse(Valid + "[shares]\nuse = \"always\"\n")).FairShares,
+      ShareUse::Always);
+  EXPECT_TRUE(errorOf(parse(Valid + "[shares]\nuse = \"yes\"\n")));
 }
 
 TEST(ServingSettingsTest, NamesEveryProblem) {
--- a/test/Serving/ConfigurationTest.cpp
+++ b/test/Serving/ConfigurationTest.cpp
@@ -26,6 +26,23 @@
   EXPECT_EQ(priorityOf(Tested, &Caller), 9);
 }
 
+TEST(ConfigurationTest, FindsServicesWhoseRoutesDifferInPriority) {
+  Route First;
+  First.Host = "first";
+  First.Priority = 1;
+  First.Services = {{ServiceId("pool"), 1}, {ServiceId("booking"), 1}};
+  Route Second = First;
+  Second.Host = "second";
+  Configuration Config;
+  Config.Routes = RouteTable::create(std::vector<Route>{First, Second});
+  EXPECT_TRUE(servicesWithPriorities(Config).empty());
+  Second.Priority = 2;
+  Second.Services = {{ServiceId("pool"), 1}};
+  Config.Routes = RouteTable::create(std::vector<Route>{First, Second});
+  EXPECT_EQ(servicesWithPriorities(Config),
+            std::set<ServiceId>{ServiceId("pool")});
+}
+
 TEST(ConfigurationTest, AllowsRepeatsForSafeAndResumableRoutesOnly) {
   Route Tested;
   Tested.Kind = RequestKind::Safe;
