--- a/test/Serving/PlaceSharesTest.cpp
+++ b/test/Serving/PlaceSharesTest.cpp
@@ -48,6 +48,19 @@
   EXPECT_FALSE(isBeyondShare(Shares, SmallClaim, Now));
 }
 
+TEST_F(PlaceSharesTest,
+       AppliesWherePrioritiesDifferUnlessOperatorsSayOtherwise) {
+  ServiceId Equal("equal");
+  ServiceId Differing("differing");
+  Shares.Differing = {Differing};
+  EXPECT_FALSE(appliesTo(Shares, Equal));
+  EXPECT_TRUE(appliesTo(Shares, Differing));
+  Shares.Use = ShareUse::Always;
+  EXPECT_TRUE(appliesTo(Shares, Equal));
+  Shares.Use = ShareUse::Never;
+  EXPECT_FALSE(appliesTo(Shares, Differing));
+}
+
 TEST_F(PlaceSharesTest, YieldsNothingWhenSwitchedOff) {
   Shares.Settings.Enabled = false;
   Placement Found = freePlace();
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -967,6 +967,7 @@
 
 // The last free place goes to an organisation that waits at another entry.
 TEST_F(RequestFlowTest, LeavesAPlaceToOrganisationsThatWaitElsewhere) {
+  Flows.shares().Use = ShareUse::Always;
   ScriptedServer &Engine =
       addEngine(PoolService, [](ScriptedConnection &To, int) {
         To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
@@ -995,6 +996,7 @@
 
 // A caller that was refused before returns with less time than it first had.
 TEST_F(RequestFlowTest, ReportsNoLateRequestAsWaitingForItsShare) {
+  Flows.shares().Use = ShareUse::Always;
   addEngine(PoolService, [](ScriptedConnection &To, int) {
     To.send(answer("200 OK\r\nid: r1\r\nseal: s", "id: 1\ndata: x\n\n"));
   });
