Count demand by the usual length of answers

Traced by event=groups_given_up: the demand of the other model was told as 414 to 499 places, while about 280 were filled. A request states only the most tokens that its answer may have, more than twice the mean, so the work asked for was told too high, and 0.6 of the places were taken for usable.

The work now counts the usual answer that the service states, 0.8 of a group's places are usable, and demand must have been known for 3 s, as the first second's average is noisy.

DemandPlanTest.IgnoresAShortBurst states its loads in proportion to the usable places, so that it is as strict as before.

--- a/include/samphirehill/Groups/DemandPlan.h
+++ b/include/samphirehill/Groups/DemandPlan.h
@@ -48,13 +48,13 @@
   // the length of bursts, so that they don't move engines to and fro.
   Duration Smoothing = seconds(8);
   // Demand must have been known for this long before it is used.
-  Duration LeastKnown = milliseconds(1'500);
+  Duration LeastKnown = seconds(3);
   // The last known demand is used for this long without news, then the stated
   // shares.
   Duration MaxAge = seconds(20);
   // Share of a group's slots that can be filled before requests are refused:
   // requests arrive unevenly, and the entries know the load with a delay.
-  double UsableFill = 0.6;
+  double UsableFill = 0.8;
   // From the order to close a group until its engines are free.
   Duration DrainTime = milliseconds(2'500);
   // A change must have paid back what it costs within this, and must improve
--- a/include/samphirehill/Serving/Configuration.h
+++ b/include/samphirehill/Serving/Configuration.h
@@ -47,6 +47,9 @@
   int LoadsAtOnce = 1;            // limit on model loads in progress
   Duration GroupOpening{}; // from the order to open until the head serves
   Duration ReportLag{};    // age of the state that an engine reports
+  // Mean tokens of an answer, of all requests; 0: unknown. A request states
+  // only the most that its answer may have.
+  std::int64_t UsualAnswerTokens = 0;
   std::vector<ModelShape> Models;
 
   bool operator==(const EngineShape &) const = default;
--- a/lib/Serving/WorkCount.cpp
+++ b/lib/Serving/WorkCount.cpp
@@ -40,9 +40,12 @@
     return;
   UpstreamLoad Load;
   Load.Running = static_cast<int>(std::lround(Engine.Slots * ReferenceFill));
+  std::int64_t AnswerTokens = Facts.OutputTokens;
+  if (Engine.UsualAnswerTokens > 0)
+    AnswerTokens = std::min(AnswerTokens, Engine.UsualAnswerTokens);
   noteWork(Rates[Kind],
-           toSeconds(expectedHolding(Load, Facts.PromptTokens,
-                                     Facts.OutputTokens, Engine, Model->Pace)),
+           toSeconds(expectedHolding(Load, Facts.PromptTokens, AnswerTokens,
+                                     Engine, Model->Pace)),
            Now);
 }
 
--- a/test/Groups/DemandPlanTest.cpp
+++ b/test/Groups/DemandPlanTest.cpp
@@ -122,12 +122,12 @@
   DemandHistory History;
   TimePoint Now{seconds(100)};
   replay(History, Now, Now + seconds(30), [](double) {
-    return ModelWork{{"large", 80}, {"small", 200}};
+    return ModelWork{{"large", 80}, {"small", 265}};
   });
   Exchange Option{"d", "large", "small", 1, 2};
   for (int Ticks = 0; Ticks < 10; ++Ticks) {
     replay(History, Now, Now + Tick, [](double) {
-      return ModelWork{{"large", 80}, {"small", 340}};
+      return ModelWork{{"large", 80}, {"small", 450}};
     });
     std::optional<ModelWork> Work = plannedDemand(History, {}, Now);
     ASSERT_TRUE(Work);
--- a/test/Platform/DecodeTest.cpp
+++ b/test/Platform/DecodeTest.cpp
@@ -75,7 +75,7 @@
       "cold_per_s":36.0,"engine":{"capacity_slots":26,"stride":5,
         "step_ms":6.07,"per_seq_ms":0.241,"read_per_s":46000.0,"chunk":2048,
         "loads_per_s":4.0,"loads_at_once":6,"form_ms":300.0,
-        "report_lag_ms":200.0,
+        "report_lag_ms":200.0,"usual":{"prompt":900.5,"answer":140.4},
         "models":[{"name":"m","size":4,"share":0.67,"pace":1.0,
                    "load_s":16.0,"warm_s":1.6}]}}],
     "limits":{"idle_timeout_ms":15000},
@@ -94,6 +94,7 @@
   ASSERT_TRUE(Engine);
   EXPECT_EQ(Engine->Step, Duration(6'070));
   EXPECT_EQ(Engine->ReportLag, milliseconds(200));
+  EXPECT_EQ(Engine->UsualAnswerTokens, 140);
   EXPECT_EQ(Engine->Models[0].GroupSize, 4);
   EXPECT_EQ(Engine->Models[0].Load, seconds(16));
   EXPECT_EQ(Config.OrganisationByKey.at("k2").Id, OrganisationId("org"));
