Use demand once it has been known for 1.5 s, as before

The plan is to act on a lasting imbalance within three seconds; with work counted by usual answers the first second's average no longer moves groups. GroupsTests (66) and the Group tests of ServingTests (51) pass; with 3 s three of them failed, as they hold that target.

--- a/include/samphirehill/Groups/DemandPlan.h
+++ b/include/samphirehill/Groups/DemandPlan.h
@@ -48,7 +48,7 @@
   // the length of bursts, so that they don't move engines to and fro.
   Duration Smoothing = seconds(8);
   // Demand must have been known for this long before it is used.
-  Duration LeastKnown = seconds(3);
+  Duration LeastKnown = milliseconds(1'500);
   // The last known demand is used for this long without news, then the stated
   // shares.
   Duration MaxAge = seconds(20);
