--- a/include/samphirehill/Serving/WorkCount.h
+++ b/include/samphirehill/Serving/WorkCount.h
@@ -20,6 +20,11 @@
                          std::int64_t OutputTokens, const EngineShape &Engine,
                          double Pace);
 
+// Returns how long a request with the usual answer holds a slot of a group of
+// Model of which the share Fill of the slots is taken.
+Duration usualHolding(const EngineShape &Engine, const ModelShape &Model,
+                      const RequestFacts &Facts, double Fill);
+
 // Returns the rates at Now, in events per second.
 std::map<ServiceModel, double>
 ratesAt(const std::map<ServiceModel, EventRate> &Rates, TimePoint Now);
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -290,13 +290,8 @@
   void claimPlace(const ModelShape &Model) {
     OrganisationId Organisation =
         OwningOrganisation ? OwningOrganisation->Id : OrganisationId();
-    UpstreamLoad Full;
-    Full.Running = std::max(Shape->Engine->Slots - 1, 0);
-    Duration Holding =
-        expectedHolding(Full, Facts.PromptTokens, Facts.OutputTokens,
-                        *Shape->Engine, Model.Pace);
     Claim = countClaim(Owner.Shares, serviceModel(), {priority(), Organisation},
-                       Holding, now());
+                       usualHolding(*Shape->Engine, Model, Facts, 1.0), now());
   }
 
   bool isBeyondOwnShare() const {
--- a/lib/Serving/WorkCount.cpp
+++ b/lib/Serving/WorkCount.cpp
@@ -22,6 +22,17 @@
                      expectedGap(Load, Engine, Pace) * Events);
 }
 
+Duration usualHolding(const EngineShape &Engine, const ModelShape &Model,
+                      const RequestFacts &Facts, double Fill) {
+  UpstreamLoad Load;
+  Load.Running = static_cast<int>(std::lround(Engine.Slots * Fill));
+  std::int64_t AnswerTokens = Facts.OutputTokens;
+  if (Engine.UsualAnswerTokens > 0)
+    AnswerTokens = std::min(AnswerTokens, Engine.UsualAnswerTokens);
+  return expectedHolding(Load, Facts.PromptTokens, AnswerTokens, Engine,
+                         Model.Pace);
+}
+
 std::map<ServiceModel, double>
 ratesAt(const std::map<ServiceModel, EventRate> &Rates, TimePoint Now) {
   std::map<ServiceModel, double> PerSecond;
@@ -38,15 +49,8 @@
       [&](const ModelShape &Each) { return Each.Name == Kind.Model; });
   if (Model == Engine.Models.end())
     return;
-  UpstreamLoad Load;
-  Load.Running = static_cast<int>(std::lround(Engine.Slots * ReferenceFill));
-  std::int64_t AnswerTokens = Facts.OutputTokens;
-  if (Engine.UsualAnswerTokens > 0)
-    AnswerTokens = std::min(AnswerTokens, Engine.UsualAnswerTokens);
   noteWork(Rates[Kind],
-           toSeconds(expectedHolding(Load, Facts.PromptTokens, AnswerTokens,
-                                     Engine, Model->Pace)),
-           Now);
+           toSeconds(usualHolding(Engine, *Model, Facts, ReferenceFill)), Now);
 }
 
 WorkAsked workAsked(const WorkRates &Rates, const ZoneId &Zone, TimePoint Now) {
