Say how many requests a connection has carried

The log could not tell whether an answer arrived on a connection that had carried the same request before. event=sent and event=stray_answer now give the number of requests of the connection, this one included, and the latter the status.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -98,6 +98,9 @@
   bool sent() const;
   // Returns whether the connection has carried earlier requests.
   bool reused() const;
+  // Returns how many requests the connection has carried, this one included, or
+  // 0 if it has ended.
+  int connectionRequests() const;
 
 private:
   std::weak_ptr<PooledConnection> Connection;
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -379,13 +379,6 @@
     noteEvent(Owner.SendRates[serviceModel()], AttemptStart);
     shared().Metrics.count(
         "sends", "zone", Chosen.Zone == Owner.Settings.Zone ? "own" : "other");
-    spdlog::info(
-        "event=sent request={} attempt={} upstream={} epoch={} zone={} "
-        "running={} elsewhere={} waited_ms={} left_ms={} resume={}",
-        Facts.Id, Attempts, Key.Instance.str(), Key.Epoch, Chosen.Zone.str(),
-        shared().Book.Upstreams.at(Key).OwnLoad.Running,
-        shared().Book.Upstreams.at(Key).PeerLoad.Running, ageMs(),
-        toMilliseconds(Sent.TimeLeft), Splitter.LastId ? *Splitter.LastId : -1);
     ExchangeOptions Options;
     Options.AnswerHasNoBody = Caller->Request.Method == "HEAD";
     if (!isRepeatable(*MatchedRoute))
@@ -401,6 +394,15 @@
     };
     Attempt = shared().Pool.start(Chosen.Address, std::move(Bytes), Options,
                                   handlers());
+    spdlog::info(
+        "event=sent request={} attempt={} upstream={} epoch={} zone={} "
+        "running={} elsewhere={} waited_ms={} left_ms={} resume={} "
+        "connection_requests={}",
+        Facts.Id, Attempts, Key.Instance.str(), Key.Epoch, Chosen.Zone.str(),
+        shared().Book.Upstreams.at(Key).OwnLoad.Running,
+        shared().Book.Upstreams.at(Key).PeerLoad.Running, ageMs(),
+        toMilliseconds(Sent.TimeLeft), Splitter.LastId ? *Splitter.LastId : -1,
+        Attempt->connectionRequests());
   }
 
   bool wasSentTo(const InstanceId &Instance) const {
@@ -450,8 +452,10 @@
       shared().OnAnswer(CurrentLife, Answer);
     bool Success = Head.Status >= 200 && Head.Status < 300;
     if (!answersThisRequest(Answer, Success)) {
-      spdlog::warn("event=stray_answer request={} upstream={} answer_to={}",
-                   Facts.Id, CurrentUpstream->Instance.str(), Answer.Id);
+      spdlog::warn("event=stray_answer request={} upstream={} answer_to={} "
+                   "status={} connection_requests={}",
+                   Facts.Id, CurrentUpstream->Instance.str(), Answer.Id,
+                   Head.Status, Attempt->connectionRequests());
       return false;
     }
     noteUpstreamProgress();
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -70,7 +70,7 @@
     WriteDone = false;
     OtherAnswers = 0;
     OtherBytes = 0;
-    Reused = Connected;
+    ++Requests;
     if (Connected)
       write();
     else
@@ -108,13 +108,14 @@
   }
 
   bool sent() const { return SentAny; }
-  bool reused() const { return Reused; }
+  int requests() const { return Requests; }
+  bool reused() const { return Requests > 1; }
 
   // Called when no answer was received in time on a pooled connection. Pooled
   // connections to one address often stop working together; without this, each
   // of them would cost its next request a timeout.
   void closeIdleToSameAddress() {
-    if (Reused && Pool)
+    if (reused() && Pool)
       Pool->closeIdle(Address);
   }
 
@@ -327,8 +328,8 @@
   TimerSubscription ConnectTimer;
   TimePoint IdleSince{};
   Duration PeerIdleTimeout = std::chrono::hours(1);
+  int Requests = 0; // that it has carried, the current one included
   bool Busy = false;
-  bool Reused = false; // it has carried an earlier request
   bool Connected = false;
   bool SentAny = false;
   bool WriteDone = false;
@@ -357,6 +358,11 @@
   return Locked && Locked->reused();
 }
 
+int Exchange::connectionRequests() const {
+  std::shared_ptr<PooledConnection> Locked = Connection.lock();
+  return Locked ? Locked->requests() : 0;
+}
+
 bool Exchange::sent() const {
   std::shared_ptr<PooledConnection> Locked = Connection.lock();
   return !Locked || Locked->sent();
