Reproduce refusals that are copied to a later attempt

An engine at an address refuses a request that was meant for its predecessor (421), and runs it when the list names the engine itself; or it refuses a request whose id a caller uses again. A copy of the refusal arrives on the first connection while the request is in progress there. On today's code both callers get 503 for a request that an engine runs.

Third, an answer to another request that states a pause keeps this entry from its engine: notices are taken over before it is known whose answer it is.

--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -477,6 +477,63 @@
                                          CopyCase{"Later", false}),
                          [](const auto &Info) { return Info.param.Name; });
 
+// An instance refuses a request that was meant for its predecessor at the
+// address, and runs it once the list names the instance itself. A copy of the
+// refusal then bears the id of the request in progress.
+TEST_F(RequestFlowTest, IgnoresCopyOfRefusalByNextInstanceAtTheAddress) {
+  const std::string Refusal = answer("421 Wrong\r\nid: r1\r\nnotrun: 1", "");
+  ScriptedServer *Server = nullptr;
+  Server = &addEngine(PlainService, [&](ScriptedConnection &To, int Number) {
+    Server->connections().at(0)->send(Refusal);
+    if (Number == 2)
+      To.send(answer("200 OK\r\nid: r1\r\nseal: s", "ran"));
+  });
+  send("/unsafe/");
+  ASSERT_TRUE(runUntil(Context, [&] {
+    return Book.Upstreams.begin()->second.Avoid == AvoidReason::Refusing;
+  }));
+  Usable.back().Key.Instance = InstanceId("next");
+  updateUpstreams(Book, Usable);
+  Flows.dispatchWaiting();
+  EXPECT_TRUE(awaitAnswer("ran")) << Received;
+  EXPECT_EQ(Server->requests(), 2);
+}
+
+// A caller sends a request again under the id that was refused. A copy of that
+// refusal arrives while an engine runs the second one.
+TEST_F(RequestFlowTest, IgnoresCopyOfRefusalOfAnEarlierRequestWithTheSameId) {
+  const std::string Refusal = answer("503 Full\r\nid: r1\r\nnotrun: 1", "");
+  ScriptedServer *Server = nullptr;
+  Server = &addEngine(PlainService, [&](ScriptedConnection &To, int Number) {
+    Server->connections().at(0)->send(Refusal);
+    if (Number == 2)
+      To.send(answer("200 OK\r\nid: r1\r\nseal: s", "ran"));
+  });
+  send("/unsafe/");
+  ASSERT_TRUE(awaitAnswer("HTTP/1.1 503"));
+  Received.clear();
+  send("/unsafe/");
+  EXPECT_TRUE(awaitAnswer("ran")) << Received;
+  EXPECT_EQ(Server->requests(), 2);
+}
+
+// The copy of an answer says what its engine stated earlier.
+TEST_F(RequestFlowTest, IgnoresNoticesInAnswersToOtherRequests) {
+  addEngine(PlainService, [](ScriptedConnection &To, int Number) {
+    if (Number == 1)
+      To.send(answer("503 Full\r\nid: r0\r\nnotrun: 1\r\nquiet: 5000", ""));
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "A"));
+  });
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "B"));
+  });
+  for (int Sent = 0; Sent < 2; ++Sent) {
+    Received.clear();
+    send("/unsafe/");
+    EXPECT_TRUE(awaitAnswer("\r\n\r\nA")) << Received;
+  }
+}
+
 TEST_F(RequestFlowTest, ForwardsEngineFailureUnchanged) {
   addEngine(PlainService, [](ScriptedConnection &To, int) {
     To.send(answer("500 Failed\r\nid: r1\r\nseal: f", "why"));
