Use no connection twice for one request id

What callers saw: 503 with its promise for bookings that an engine ran (REFUSED), or a second engine that ran them (TWICE).

Cause: kept a request from the connection of its earlier attempt by the instances that the request remembers. What a connection has carried is a fact of the connection, and the two differ where an address changes its instance (421 for the predecessor, then the list names the successor) and where two requests bear one id. A copy of the first refusal then answered the second attempt.

Each pooled connection now keeps the ids that it has carried and takes none of them again; after 256 it is replaced. RequestFlow no longer derives it from Tried, so an epoch, a new life and another instance at the address are one case.

Ruled out: closing a connection after each refusal. It costs a connection for each rejection of a full engine, and leaves the second request with the same id.

IgnoresNotRunStatementWithoutIdOnAReusedConnection sent two requests with one id on one connection, which no longer happens; its requests now have different ids, and it asks for the same answers, runs and connections.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -16,6 +16,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,11 @@
   // whether to close them.
   bool CloseExpired = false;
   bool AnswerHasNoBody = false; // the request's method is HEAD
+  // The id by which the answer is attributed, if it is: the request gets a
+  // connection that has not carried this id before, and a new one if the id is
+  // empty. A copy of an earlier answer with the same id may arrive at any time
+  // on the connection that the earlier request used.
+  std::optional<std::string> RequestId;
   // Bounds the body of an answer that ExchangePool::call collects. Values of
   // the platform, the largest of them, have at most 1 MB.
   std::size_t MaxBodyBytes = 16'777'216;
@@ -158,8 +164,8 @@
 
 private:
   friend class PooledConnection;
-  // Removes the most recently used connection to Address from the pool, or
-  // returns nullptr if none is usable.
+  // Removes the most recently used connection to Address that may carry the
+  // request from the pool, or returns nullptr if none is usable.
   std::shared_ptr<PooledConnection> takeIdle(const SocketAddress &Address,
                                              const ExchangeOptions &Options);
 
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -383,11 +383,7 @@
     Options.AnswerHasNoBody = Caller->Request.Method == "HEAD";
     if (!isRepeatable(*MatchedRoute))
       Options.MaxIdle = Owner.Settings.UnsafeMaxIdle;
-    // On a connection that carried an earlier request with the same id, or
-    // without one, a late copy of an earlier answer could be mistaken for the
-    // answer to this attempt. So such a request gets a new connection.
-    if (Facts.Id.empty() || wasSentTo(Key.Instance))
-      Options.MaxIdle = Duration::zero();
+    Options.RequestId = Facts.Id;
     Options.StillAllowed = [Flows = &Owner, Key] {
       const FlowShared &Shared = Flows->Shared;
       return maySend(Shared.Book, Key, Shared.Timers.nowWithSuspension());
@@ -405,12 +401,6 @@
         Attempt->connectionRequests());
   }
 
-  bool wasSentTo(const InstanceId &Instance) const {
-    return std::any_of(Tried.begin(), Tried.end(), [&](const UpstreamKey &Key) {
-      return Key.Instance == Instance;
-    });
-  }
-
   void noteExpectedFirst(const UpstreamKey &Key, const PlacementQuery &Query) {
     ExpectedFirst = Duration::zero();
     if (!Query.Engine)
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -1,6 +1,8 @@
 #include "samphirehill/Serving/UpstreamExchange.h"
 #include "Sockets.h"
 
+#include "samphirehill/Core/Hash.h"
+
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
@@ -21,6 +23,9 @@
 // faulty.
 constexpr int MaxOtherAnswers = 8;
 constexpr std::size_t MaxOtherBytes = 1'048'576;
+// A connection that has carried this many request ids is not pooled again, so
+// that the record of them stays short.
+constexpr std::size_t MaxCarriedIds = 256;
 // A pooled connection is used until this long before the peer's idle timeout.
 constexpr Duration IdleMargin = milliseconds(500);
 
@@ -71,6 +76,8 @@
     OtherAnswers = 0;
     OtherBytes = 0;
     ++Requests;
+    if (Options.RequestId)
+      CarriedIds.push_back(hashBytes(*Options.RequestId));
     if (Connected)
       write();
     else
@@ -107,6 +114,18 @@
            Now - IdleSince < std::min(MaxIdle, PeerIdleTimeout);
   }
 
+  // Returns whether an answer could be attributed to a request with NewOptions:
+  // an answer to an earlier request with the same id, or to one without an id,
+  // may still arrive on this connection.
+  bool mayCarry(const ExchangeOptions &NewOptions) const {
+    if (!NewOptions.RequestId)
+      return true;
+    std::uint64_t Id = hashBytes(*NewOptions.RequestId);
+    return !NewOptions.RequestId->empty() &&
+           std::find(CarriedIds.begin(), CarriedIds.end(), Id) ==
+               CarriedIds.end();
+  }
+
   bool sent() const { return SentAny; }
   int requests() const { return Requests; }
   bool reused() const { return Requests > 1; }
@@ -293,7 +312,8 @@
   void release() {
     std::vector<std::shared_ptr<PooledConnection>> &IdleConnections =
         Pool->Idle[Address];
-    if (IdleConnections.size() >= MaxIdlePerAddress)
+    if (IdleConnections.size() >= MaxIdlePerAddress ||
+        CarriedIds.size() >= MaxCarriedIds)
       return close();
     IdleSince = Pool->Timers.now();
     SentAny = false;
@@ -329,6 +349,7 @@
   TimePoint IdleSince{};
   Duration PeerIdleTimeout = std::chrono::hours(1);
   int Requests = 0; // that it has carried, the current one included
+  std::vector<std::uint64_t> CarriedIds; // hashes of these requests' ids
   bool Busy = false;
   bool Connected = false;
   bool SentAny = false;
@@ -391,8 +412,14 @@
       closeIdle(Address);
     return nullptr;
   }
-  std::shared_ptr<PooledConnection> Taken = std::move(IdleConnections.back());
-  IdleConnections.pop_back();
+  auto Newest =
+      std::find_if(IdleConnections.rbegin(), IdleConnections.rend(),
+                   [&](const auto &Each) { return Each->mayCarry(Options); });
+  if (Newest == IdleConnections.rend() ||
+      !(*Newest)->isUsable(Now, Options.MaxIdle))
+    return nullptr;
+  std::shared_ptr<PooledConnection> Taken = std::move(*Newest);
+  IdleConnections.erase(std::next(Newest).base());
   return Taken;
 }
 
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -136,10 +136,9 @@
   void sendUnconfigured(const std::string &Path,
                         const std::string &Headers = "") {
     std::string Bytes = "POST " + Path +
-                        "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
-                        "Content-Length: " +
-                        std::to_string(Body.size()) + "\r\n" + Headers +
-                        "\r\n" + Body;
+                        "1 HTTP/1.1\r\nHost: h\r\nid: " + RequestId +
+                        "\r\nContent-Length: " + std::to_string(Body.size()) +
+                        "\r\n" + Headers + "\r\n" + Body;
     asio::write(Client, asio::buffer(Bytes));
     if (std::exchange(Reading, true))
       return;
@@ -185,6 +184,7 @@
   asio::ip::tcp::socket Client;
   std::array<char, 4'096> Buffer;
   std::string Received;
+  std::string RequestId = "r1";
   std::string Body;   // of the requests
   std::string Tested; // what an engine sends
   bool Reading = false;
@@ -412,16 +412,19 @@
         addEngine(PlainService, [Head](ScriptedConnection &To, int Number) {
           if (Number == 2)
             To.send(answer(Head, "copy"));
-          To.send(answer("200 OK\r\nid: r1\r\nseal: s",
-                         "run " + std::to_string(Number)));
+          std::string Run = std::to_string(Number);
+          To.send(
+              answer("200 OK\r\nid: r" + Run + "\r\nseal: s", "run " + Run));
         });
     ScriptedServer &Second =
         addEngine(PlainService, [](ScriptedConnection &To, int) {
-          To.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+          To.send(answer("200 OK\r\nid: r2\r\nseal: s", "second"));
         });
+    RequestId = "r1";
     send("/unsafe/");
     ASSERT_TRUE(awaitAnswer("run 1"));
     Received.clear();
+    RequestId = "r2";
     send("/unsafe/");
     EXPECT_TRUE(awaitAnswer("run 2")) << Head << "\n" << Received;
     EXPECT_EQ(First.requests(), 2);
