Take notices only from answers to the request that was sent

What callers would see: an engine that has asked for no pause gets nothing for up to the length of an earlier one, as the copy of its 503 is read again; after a change of the address, it is applied to the life that is addressed now.

Cause: OnAnswer ran before the answer was attributed. Class: evidence is used before it is known whose it is.

--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -73,8 +73,9 @@
   PartSuspects &Suspects;
   ServingMetrics &Metrics;
   RequestWire Wire;
-  // Called for the head of each upstream answer, with what the answer states
-  // about the upstream's instance (for example that it is leaving).
+  // Called for the head of each upstream answer to the request that was sent,
+  // with what the answer states about the upstream's instance (for example that
+  // it is leaving).
   std::function<void(const InstanceLife &From, const AnswerFacts &Answer)>
       OnAnswer;
   // Called when Suspects holds news that the other entries need at once: a
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -438,8 +438,6 @@
 
   bool handleHead(const HttpResponse &Head) {
     AnswerFacts Answer = shared().Wire.ReadAnswer(Head);
-    if (shared().OnAnswer)
-      shared().OnAnswer(CurrentLife, Answer);
     bool Success = Head.Status >= 200 && Head.Status < 300;
     if (!answersThisRequest(Answer, Success)) {
       spdlog::warn("event=stray_answer request={} upstream={} answer_to={} "
@@ -448,6 +446,8 @@
                    Head.Status, Attempt->connectionRequests());
       return false;
     }
+    if (shared().OnAnswer)
+      shared().OnAnswer(CurrentLife, Answer);
     noteUpstreamProgress();
     HeadSeen = true;
     Collected = Head;
