Give callers no promise that the engine has not given

What callers saw or would see: 408, 429 or 503, which promise that nothing has run and never will, for a booking that an engine may have run (REFUSED). Found by a reviewer who had not seen the work.

Cause: an engine's failure was forwarded with its status, whatever callers take the status for. Only the statement "not run" (or 421) says that nothing has run. Now such a failure is answered with 502, without the engine's seal.

--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -34,6 +34,12 @@
          (!Type || Type->starts_with("text/event-stream"));
 }
 
+// Returns whether callers take Status for a promise that their request was not
+// run.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 // Returns the ids of Parts as they are logged.
 std::string toString(const std::vector<PromptPart> &Parts) {
   return fmt::format("{:x}", fmt::join(Parts, ","));
@@ -648,6 +654,10 @@
       return;
     if (HeadForwarded)
       return abortStream("upstream failed");
+    if (promisesNotRun(Collected.Status)) {
+      MayHaveRun = true;
+      return giveUp(ResultCode::BadAnswer, "upstream_failed");
+    }
     Caller->reply(Collected);
     if (Success)
       noteAnswerTime(Owner.AnswerTimes[MatchedRoute->Name],
