Count a 421 as no answer of the instance that was addressed

What operators would see: a group that has lost its head counts as making progress, and a zone as reached, as the next instance at the address answers 421.

Class: evidence is used before it is known whose it is.

--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -454,7 +454,9 @@
     }
     if (shared().OnAnswer)
       shared().OnAnswer(CurrentLife, Answer);
-    noteUpstreamProgress();
+    // A 421 may come from another instance at the address.
+    if (Head.Status != 421)
+      noteUpstreamProgress();
     HeadSeen = true;
     Collected = Head;
     CollectedFacts = Answer;
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -521,6 +521,19 @@
   EXPECT_EQ(Server->requests(), 2);
 }
 
+// The instance that now has the address refuses what was meant for its
+// predecessor. That is no sign of life of the predecessor or its group.
+TEST_F(RequestFlowTest, CountsNoAnswerOfTheNextInstanceAtTheAddress) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("421 Wrong\r\nid: r1\r\nnotrun: 1", ""));
+  });
+  send("/unsafe/");
+  const UpstreamState &Addressed = Book.Upstreams.begin()->second;
+  ASSERT_TRUE(runUntil(
+      Context, [&] { return Addressed.Avoid == AvoidReason::Refusing; }));
+  EXPECT_EQ(Addressed.LastAnswerAt, TimePoint{});
+}
+
 // The copy of an answer says what its engine stated earlier.
 TEST_F(RequestFlowTest, IgnoresNoticesInAnswersToOtherRequests) {
   addEngine(PlainService, [](ScriptedConnection &To, int Number) {
