--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -190,6 +190,38 @@
   EXPECT_EQ(*LeavingLife, (serving::InstanceLife{Instance.Id, 7}));
 }
 
+// Another incarnation answers at the address; its notice is not the earlier
+// one's.
+TEST(RequestsTest, AttributesNoNoticeOfAnotherIncarnation) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  serving::ExchangePool Pool(Context, Timers);
+  serving::ScriptedServer Server(
+      Context, [](serving::ScriptedConnection &Connection, int) {
+        Connection.send("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+                        "Content-Length: 10\r\n\r\n{\"born\":8}");
+      });
+  serving::InstanceCalls Calls = instanceCalls(Pool);
+  std::vector<serving::InstanceLife> Leaving;
+  *Calls.OnAnswer = [&](const serving::InstanceLife &From,
+                        const serving::AnswerFacts &Answer) {
+    if (Answer.Leaving)
+      Leaving.push_back(From);
+  };
+  serving::Instance Earlier;
+  Earlier.Id = InstanceId("i-1");
+  Earlier.BornMilliseconds = 7;
+  Earlier.Address = {"127.0.0.1", Server.port()};
+  std::optional<Outcome<serving::Instance>> Report;
+  Calls.Report(Earlier, [&](const Outcome<serving::Instance> &Answer) {
+    Report = Answer;
+  });
+  ASSERT_TRUE(serving::runUntil(Context, [&] { return Report.has_value(); }));
+  ASSERT_TRUE(errorOf(*Report));
+  EXPECT_EQ(errorOf(*Report)->Code, ResultCode::NotFound);
+  EXPECT_TRUE(Leaving.empty());
+}
+
 TEST(RequestsTest, AnswersWithAttemptIdAndRetryAfter) {
   HttpResponse Answer =
       requestWire().BuildAnswer(503, "9c41", milliseconds(250));
