Attribute a crash to the life that was sent the request

The list may name the next life of an engine before the connection to the earlier one ends; the crash was then recorded as the next life's, which got no requests. Found by the reviewer; RequestFlowTest.AttributesCrashToTheLifeThatWasSentTheRequest failed before.

--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -753,7 +753,9 @@
     bool Suspect = Ran && !Survived && !Facts.SharedParts.empty();
     if (Suspect)
       SuspectedOf = CurrentLife;
-    Owner.checkCrash(Found->second.Info,
+    Upstream Sent = Found->second.Info;
+    Sent.BornMilliseconds = CurrentLife.BornMilliseconds;
+    Owner.checkCrash(Sent,
                      Suspect ? Facts.SharedParts : std::vector<PromptPart>());
   }
 
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -749,6 +749,23 @@
   EXPECT_FALSE(blamedPart(Suspects, std::vector<PromptPart>{7}));
 }
 
+// The list names the next life of an engine before the crash of the earlier one
+// is noticed. The crash isn't the next life's.
+TEST_F(RequestFlowTest, AttributesCrashToTheLifeThatWasSentTheRequest) {
+  ScriptedServer &Engine =
+      addEngine(PoolService, [](ScriptedConnection &, int) {});
+  Usable.back().BornMilliseconds = 1;
+  updateUpstreams(Book, Usable);
+  send("/stream/", "part: 7\r\n");
+  ASSERT_TRUE(runUntil(Context, [&] { return Engine.requests() == 1; }));
+  Usable.back().BornMilliseconds = 2;
+  updateUpstreams(Book, Usable);
+  Engine.crash();
+  ASSERT_TRUE(runUntil(Context, [&] { return !Suspects.Crashes.empty(); }));
+  EXPECT_TRUE(Suspects.Crashes.contains(crashId({InstanceId("i1"), 1})));
+  EXPECT_FALSE(Suspects.Crashes.contains(crashId({InstanceId("i1"), 2})));
+}
+
 class RequestFlowUnusableTest
     : public RequestFlowTest,
       public testing::WithParamInterface<const char *> {};
