Count no break-off when another request's answer ends the connection

This side closes the connection then, so it is no sign of a crash; three such answers at different engines had a sound request refused as one that crashes engines. Found by the reviewer; RequestFlowTest.CountsNoBreakOffWhenAnotherRequestsAnswerCloses failed before.

--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -288,7 +288,8 @@
       return; // cancelled by a handler
     if (!AnswersRequest) {
       if (!PeerKeepsAlive && Reader.status() >= 200)
-        fail("closed after another request's answer");
+        fail("closed after another request's answer", ExchangeFailure::NotSent,
+             ExchangeFailure::Unusable);
       return;
     }
     AnswerComplete = true;
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -796,6 +796,16 @@
                     "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 8\r\n\r\n"
                     "unsealed"));
 
+// An answer to another request ends the connection, which this side closes.
+TEST_F(RequestFlowTest, CountsNoBreakOffWhenAnotherRequestsAnswerCloses) {
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r0\r\nseal: s\r\nConnection: close", ""));
+  });
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("HTTP/1.1 502")) << Received;
+  EXPECT_TRUE(Crashes.BreakOffs.empty());
+}
+
 // What an engine in trouble sends, a head and then a piece again and again
 // until the connection is closed.
 struct EndlessBytes {
