Count a send that was not allowed as no failure to reach its zone

An engine asks for a pause, or leaves, while a connection to it is made. Nothing is written then, and that was recorded as evidence that its zone can't be reached.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -25,6 +25,7 @@
 
 enum class ExchangeFailure {
   NotSent,         // no byte of the request left this process
+  NotAllowed,      // not sent either, as StillAllowed returned false
   Refused,         // not sent either, as nothing listens at the address
   ConnectTimedOut, // not sent either, as the peer did not answer the connect
   Broken,          // the connection ended; the peer may have run the request
@@ -72,7 +73,7 @@
   bool Keep = true;
   // Called just before the request is written, which may be long after start if
   // the process was suspended in between. If it returns false, nothing is sent
-  // and the exchange fails with NotSent.
+  // and the exchange fails with NotAllowed.
   std::function<bool()> StillAllowed;
 };
 
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -719,7 +719,8 @@
     endAttempt(true);
     Tried.insert(Key);
     if (!Ran) {
-      if (Kind != ExchangeFailure::Refused)
+      if (Kind != ExchangeFailure::Refused &&
+          Kind != ExchangeFailure::NotAllowed)
         noteUnreached(shared().Book, Key, now());
       avoidAndSlow(shared().Book, Key, AvoidReason::Unreachable,
                    Owner.Settings.UnreachableAvoidance, now());
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -186,7 +186,7 @@
   void write() {
     if (Options.StillAllowed && !Options.StillAllowed()) {
       asio::post(Pool->Context, [Self = shared_from_this()] {
-        Self->fail("no longer allowed to send");
+        Self->fail("no longer allowed to send", ExchangeFailure::NotAllowed);
       });
       return;
     }
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -320,6 +320,21 @@
   EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
 }
 
+// An engine asks for a pause while a connection to it is being made. That
+// nothing is then sent is no sign that its zone can't be reached.
+TEST_F(RequestFlowTest, CountsNoZoneAsUnreachedWhenSendingIsNotAllowed) {
+  ScriptedServer &Quiet =
+      addEngine(PlainService, [](ScriptedConnection &, int) {});
+  send("/unsafe/");
+  const UpstreamState &Chosen = Book.Upstreams.begin()->second;
+  ASSERT_TRUE(runUntil(Context, [&] { return Chosen.OwnLoad.Running == 1; }));
+  noteQuiet(Book.Notices, lifeOf(Chosen.Info), seconds(5), 0,
+            Timers.nowWithSuspension());
+  ASSERT_TRUE(awaitAnswer("HTTP/1.1 503")) << Received;
+  EXPECT_EQ(Quiet.requests(), 0);
+  EXPECT_EQ(Book.Reach.Seen[Chosen.Info.Zone].FailedAt, TimePoint{});
+}
+
 TEST_F(RequestFlowTest, RefusesImmediatelyWhenAllEnginesRequestedAPause) {
   ScriptedServer &Quiet =
       addEngine(PlainService, [](ScriptedConnection &Connection, int) {
