Use no connection again after a request without a body in its answer

The answer to HEAD names the length of a body that it doesn't have. A copy of it during the next request took up that request's answer as its body, and the request hung.

--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -301,7 +301,10 @@
     std::shared_ptr<PooledConnection> Self = shared_from_this();
     ExchangeHandlers Finished = std::exchange(Handlers, {});
     Busy = false;
-    if (MayKeep && Options.Keep && PeerKeepsAlive && WriteDone && Pool)
+    // The copy of an answer without a body would take up the next answer as the
+    // body that its length names.
+    if (MayKeep && Options.Keep && !Options.AnswerHasNoBody && PeerKeepsAlive &&
+        WriteDone && Pool)
       release();
     else
       close();
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -84,5 +84,48 @@
   EXPECT_EQ(connections(), 2u);
 }
 
+// The answer to a HEAD request names the length of a body that it doesn't have.
+// Its copy must not take up the bytes of the next answer.
+TEST(UpstreamExchangeHeadTest, ReadsAnswerAfterCopyOfAnswerWithoutBody) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  ExchangePool Pool(Context, Timers);
+  const std::string Refusal =
+      "HTTP/1.1 503 Full\r\nid: r1\r\nContent-Length: 5000\r\n\r\n";
+  ScriptedServer *Server = nullptr;
+  ScriptedServer Peer(Context, [&](ScriptedConnection &To, int Number) {
+    Server->connections().at(0)->send(Refusal);
+    if (Number == 2)
+      To.send(answer("200 OK\r\nid: r2", "x"));
+  });
+  Server = &Peer;
+  for (const std::string Id : {"r1", "r2"}) {
+    ExchangeOptions Options;
+    Options.RequestId = Id;
+    Options.AnswerHasNoBody = Id == "r1";
+    int Status = 0;
+    bool Done = false;
+    ExchangeHandlers Handlers;
+    Handlers.OnHead = [&](const HttpResponse &Head) {
+      if (*findHeader(Head.Headers, "id") != Id)
+        return false;
+      Status = Head.Status;
+      return true;
+    };
+    Handlers.OnEnd = [&] { Done = true; };
+    Handlers.OnFailure = [&](ExchangeFailure, const std::string &) {
+      Done = true;
+    };
+    HttpRequest Request{Id == "r1" ? "HEAD" : "GET", "/", {{"Host", "h"}}, {}};
+    std::shared_ptr<Exchange> Running = Pool.start(
+        {"127.0.0.1", Peer.port()}, serialize(Request), Options, Handlers);
+    EXPECT_TRUE(runUntil(Context, [&] { return Done; }));
+    EXPECT_EQ(Status, Id == "r1" ? 503 : 200);
+    if (!Done)
+      Running->cancel();
+  }
+  EXPECT_EQ(Peer.connections().size(), 2u);
+}
+
 } // namespace
 } // namespace samphirehill::serving
