Let the handle of an ended request leave the next one alone

Exchange named a connection, not a request: cancel() after the end of the request closed the connection while it carried the next one. Found by the reviewer; UpstreamExchangeTest.LeavesNextRequestWhenAnEndedOneIsCancelled failed before.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -92,8 +92,9 @@
 // Handle of one request in progress. Destroying it does not cancel the request.
 class Exchange {
 public:
-  explicit Exchange(std::weak_ptr<PooledConnection> Connection)
-      : Connection(std::move(Connection)) {}
+  // Number says which request of Connection this is, from 1.
+  Exchange(std::weak_ptr<PooledConnection> Connection, int Number)
+      : Connection(std::move(Connection)), Number(Number) {}
 
   // Closes the connection; no handler is called afterwards.
   void cancel();
@@ -104,13 +105,16 @@
   // Returns whether a byte of the request may have left this process.
   bool sent() const;
   // Returns whether the connection has carried earlier requests.
-  bool reused() const;
-  // Returns how many requests the connection has carried, this one included, or
-  // 0 if it has ended.
-  int connectionRequests() const;
+  bool reused() const { return Number > 1; }
+  // Returns how many requests the connection has carried, this one included.
+  int connectionRequests() const { return Number; }
 
 private:
+  // Returns the connection while it carries this request, or nullptr.
+  std::shared_ptr<PooledConnection> current() const;
+
   std::weak_ptr<PooledConnection> Connection;
+  int Number;
 };
 
 // Counters since the pool was created.
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -365,32 +365,27 @@
   std::size_t OtherBytes = 0;
 };
 
-void Exchange::cancel() {
-  if (std::shared_ptr<PooledConnection> Locked = Connection.lock())
-    Locked->cancel();
-}
-
-void Exchange::cancelAfterTimeout() {
+std::shared_ptr<PooledConnection> Exchange::current() const {
   std::shared_ptr<PooledConnection> Locked = Connection.lock();
-  if (!Locked)
-    return;
-  Locked->closeIdleToSameAddress();
-  Locked->cancel();
+  return Locked && Locked->requests() == Number ? Locked : nullptr;
 }
 
-bool Exchange::reused() const {
-  std::shared_ptr<PooledConnection> Locked = Connection.lock();
-  return Locked && Locked->reused();
+void Exchange::cancel() {
+  if (std::shared_ptr<PooledConnection> Current = current())
+    Current->cancel();
 }
 
-int Exchange::connectionRequests() const {
-  std::shared_ptr<PooledConnection> Locked = Connection.lock();
-  return Locked ? Locked->requests() : 0;
+void Exchange::cancelAfterTimeout() {
+  std::shared_ptr<PooledConnection> Current = current();
+  if (!Current)
+    return;
+  Current->closeIdleToSameAddress();
+  Current->cancel();
 }
 
 bool Exchange::sent() const {
-  std::shared_ptr<PooledConnection> Locked = Connection.lock();
-  return !Locked || Locked->sent();
+  std::shared_ptr<PooledConnection> Current = current();
+  return !Current || Current->sent();
 }
 
 ExchangePool::~ExchangePool() {
@@ -439,7 +434,7 @@
     All[Used.get()] = Used;
   }
   Used->begin(std::move(Bytes), Options, std::move(Handlers));
-  return std::make_shared<Exchange>(Used);
+  return std::make_shared<Exchange>(Used, Used->requests());
 }
 
 namespace {
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -84,6 +84,27 @@
   EXPECT_EQ(connections(), 2u);
 }
 
+// The connection of a request that has ended carries the next one.
+TEST_F(UpstreamExchangeTest, LeavesNextRequestWhenAnEndedOneIsCancelled) {
+  int Answered = 0;
+  auto Send = [&](const std::string &Id) {
+    ExchangeOptions Options;
+    Options.RequestId = Id;
+    return Pool.call(
+        {"127.0.0.1", Peer.port()},
+        HttpRequest{"GET", "/", {{"Host", "h"}}, {}}, seconds(3),
+        [&](const Outcome<HttpResponse> &Answer) {
+          Answered += errorOf(Answer) ? 0 : 1;
+        },
+        Options);
+  };
+  std::shared_ptr<Exchange> Ended = Send("r1");
+  ASSERT_TRUE(runUntil(Context, [&] { return Answered == 1; }));
+  Send("r2");
+  Ended->cancel();
+  EXPECT_TRUE(runUntil(Context, [&] { return Answered == 2; }));
+}
+
 // The answer to a HEAD request names the length of a body that it doesn't have.
 // Its copy must not take up the bytes of the next answer.
 TEST(UpstreamExchangeHeadTest, ReadsAnswerAfterCopyOfAnswerWithoutBody) {
