Read the limit that an instance states in its answers

Server-Limit names the requests per second that an instance takes from all entries together. Nothing read it. The smallest of several values counts, an unreadable one is counted as a notice that could not be read, and a 421 is passed over, as it may come from another instance.

--- a/include/samphirehill/Serving/RequestWire.h
+++ b/include/samphirehill/Serving/RequestWire.h
@@ -60,6 +60,8 @@
   bool Leaving = false;            // the instance takes no further requests
   // The instance asks this process to send no requests for this long (quiet).
   std::optional<Duration> QuietFor;
+  // The requests per second that the instance takes from all entries together.
+  std::optional<double> Limit;
   // Names of values that could not be parsed and were ignored.
   std::vector<std::string> Unreadable;
 
--- a/test/Platform/RequestsTest.cpp
+++ b/test/Platform/RequestsTest.cpp
@@ -2,6 +2,7 @@
 // instances.
 #include "Requests.h"
 #include "Serving/Loopback.h"
+#include "samphirehill/Serving/StatedLimits.h"
 
 #include <gtest/gtest.h>
 
@@ -162,6 +163,37 @@
   }
 }
 
+TEST(RequestsTest, ReadsStatedLimitsFromAnswers) {
+  struct Case {
+    int Status;
+    serving::HeaderList Headers;
+    std::optional<double> Limit;
+    std::size_t Unreadable;
+  };
+  const Case Cases[] = {
+      {200, {{"Server-Limit", "3.7"}}, 3.7, 0},
+      {503, {{"server-limit", "12"}}, 12.0, 0},
+      {500, {{"Server-Limit", "0"}}, 0.0, 0},
+      {200, {{"Server-Limit", "1e30"}}, serving::HighestStatedLimit, 0},
+      {200, {{"Server-Limit", "5"}, {"Server-Limit", "2.5"}}, 2.5, 0},
+      {200, {{"Server-Limit", "x"}, {"Server-Limit", "2"}}, 2.0, 1},
+      {200, {{"Server-Limit", ""}}, {}, 1},
+      {200, {{"Server-Limit", "-1"}}, {}, 1},
+      {200, {{"Server-Limit", "nan"}}, {}, 1},
+      {200, {{"Server-Limit", "inf"}}, {}, 1},
+      {200, {{"Server-Limit", "3/s"}}, {}, 1},
+      // A 421 may come from an instance other than the addressed one.
+      {421, {{"Server-Limit", "3"}}, {}, 0},
+  };
+  for (const Case &Tested : Cases) {
+    SCOPED_TRACE(std::to_string(Tested.Status) + " " + Tested.Headers[0].Value);
+    serving::AnswerFacts Facts =
+        requestWire().ReadAnswer({Tested.Status, Tested.Headers, {}});
+    EXPECT_EQ(Facts.Limit, Tested.Limit);
+    EXPECT_EQ(Facts.Unreadable.size(), Tested.Unreadable);
+  }
+}
+
 TEST(RequestsTest, PassesOnInstanceNoticesInReportAnswers) {
   asio::io_context Context;
   TimerService Timers(Context);
--- a/test/Serving/TestWire.h
+++ b/test/Serving/TestWire.h
@@ -37,6 +37,8 @@
     Facts.Leaving = findHeader(Answer.Headers, "leaving") != nullptr;
     if (const std::string *Pause = findHeader(Answer.Headers, "quiet"))
       Facts.QuietFor = milliseconds(std::stoi(*Pause));
+    if (const std::string *Limit = findHeader(Answer.Headers, "limit"))
+      Facts.Limit = std::stod(*Limit);
     return Facts;
   };
   Wire.BuildAnswer = [](int Status, const std::string &Id,
