--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -17,8 +17,6 @@
 constexpr double HighestSlowness = 20.0;
 // Burst size, in requests, of an entry's token bucket for a cold upstream.
 constexpr double ColdBurst = 1.0;
-// The list drops an instance that ended three heartbeats before.
-constexpr Duration EndedLifeMemory = seconds(4);
 
 // Returns how many requests this entry may send to a cold upstream at Now.
 // PerSecond is the limit over all entries; the entries use half of it.
@@ -69,35 +67,6 @@
   return {Of.Key.Instance, Of.BornMilliseconds};
 }
 
-void noteLifeEnded(UpstreamBook &Book, const InstanceLife &Life,
-                   TimePoint EndedAt) {
-  TimePoint &Until = Book.Ended[Life];
-  Until = std::max(Until, EndedAt + EndedLifeMemory);
-}
-
-void noteCrashReported(UpstreamBook &Book, const CrashId &Ended,
-                       TimePoint EndedAt) {
-  for (auto &[Key, State] : Book.Upstreams) {
-    TimePoint Until = EndedAt + EndedLifeMemory;
-    if (crashId(lifeOf(State.Info)) != Ended || State.LastAnswerAt > EndedAt ||
-        State.AvoidUntil >= Until)
-      continue;
-    State.Avoid = AvoidReason::Unreachable;
-    State.AvoidUntil = Until;
-  }
-}
-
-bool hasEnded(const UpstreamBook &Book, const InstanceLife &Life,
-              TimePoint Now) {
-  auto Found = Book.Ended.find(Life);
-  return Found != Book.Ended.end() && Now < Found->second;
-}
-
-void eraseEndedLives(UpstreamBook &Book, TimePoint Now) {
-  std::erase_if(Book.Ended,
-                [&](const auto &Each) { return Now >= Each.second; });
-}
-
 bool maySend(const UpstreamBook &Book, const UpstreamKey &Key,
              TimePoint NowWithSuspension) {
   auto Found = Book.Upstreams.find(Key);
