Tell the other entries which limits instances state

Each entry reports the newest statements that were made to it, with their ages; summaries keep the newest of each life. Statements of others are not passed on as own ones: each hop would make them seem a little newer, and an old limit could set itself again after its end. Values from the wire are bounded.

--- a/include/samphirehill/Limits/RateShare.h
+++ b/include/samphirehill/Limits/RateShare.h
@@ -38,8 +38,11 @@
 // Spends a token for a request sent at Now.
 void takeToken(RateShare &Tokens, TimePoint Now);
 
-// Returns when a request may be sent for which Ahead others wait already. Now
-// if that is possible at once, and TimePoint::max() if the rate is 0.
+// No wait for a token is expected to be longer.
+inline constexpr Duration LongestTokenWait = seconds(86'400);
+
+// Returns when a request may be sent for which Ahead others wait already: Now
+// if that is possible at once, and after LongestTokenWait if the rate is 0.
 TimePoint tokenAt(const RateShare &Tokens, std::size_t Ahead, TimePoint Now);
 
 // Returns how many entries may share Total, in requests per second. The more
--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -12,6 +12,7 @@
 #include "samphirehill/Serving/CrashRecord.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
+#include "samphirehill/Serving/StatedLimits.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <cstdint>
@@ -67,6 +68,9 @@
   // When the sender, or the entries of its zone, reached the zones. Empty in a
   // summary of several zones.
   std::map<ZoneId, ZoneEvidence> Reach;
+  // The newest statement of each instance that states a limit, or did so a
+  // while ago.
+  std::vector<LimitNews> Limits;
 
   bool operator==(const EntryReport &) const = default;
 };
--- a/include/samphirehill/Serving/StatedLimits.h
+++ b/include/samphirehill/Serving/StatedLimits.h
@@ -33,7 +33,10 @@
 struct StatedLimit {
   std::optional<double> PerSecond; // nothing: the limit has ended
   TimePoint StatedAt{};
-  TimePoint ChangedAt{}; // when this entry learned the current PerSecond
+  // The newest statement that was made to this entry. Only these are told to
+  // the others: a statement that is passed on in turns would seem newer each
+  // time.
+  std::optional<LimitNews> Own;
   RateShare Tokens;
   double Share = 0; // of this entry in the requests, 0 to 1; smoothed
 };
@@ -42,11 +45,16 @@
   std::map<InstanceLife, StatedLimit> ByLife;
 };
 
-// Records a statement, unless a newer one is known. Self is this entry. Returns
-// whether the limit in force has changed.
+// Records a statement that was made to another entry, unless a newer one is
+// known. Self is this entry. Returns whether the limit in force has changed.
 bool noteStatement(StatedLimits &Limits, const LimitNews &News,
                    const EntryId &Self, TimePoint Now);
 
+// Records a statement that was made to this entry, Self, and returns whether
+// the limit in force has changed.
+bool noteOwnStatement(StatedLimits &Limits, const LimitNews &News,
+                      const EntryId &Self, TimePoint Now);
+
 // Returns the limit of Of in force, in requests per second, or nothing.
 std::optional<double> statedLimit(const StatedLimits &Limits,
                                   const InstanceLife &Of);
@@ -73,10 +81,13 @@
 void noteSentByLimit(StatedLimits &Limits, const InstanceLife &Of,
                      TimePoint Now);
 
-// Returns the newest statements, for the other entries; the most recent ones if
-// there are very many.
+// Returns the newest statements that were made to this entry, by life; the most
+// recent ones if there are very many.
 std::vector<LimitNews> limitNews(const StatedLimits &Limits);
 
+// Adds Added to All, which holds the newest statement of each life by life.
+void addNews(std::vector<LimitNews> &All, const std::vector<LimitNews> &Added);
+
 // Erases limits that ended a while ago, and those of lives that have stated
 // nothing for long.
 void eraseOldLimits(StatedLimits &Limits, TimePoint Now);
--- a/lib/Limits/RateShare.cpp
+++ b/lib/Limits/RateShare.cpp
@@ -11,10 +11,6 @@
 constexpr Duration MinValidity = seconds(1);
 constexpr double ExtraTokens = 2;
 
-// Upper bound of a wait, in seconds; a double that exceeds it may not fit into
-// a Duration.
-constexpr double LongestWait = 86'400;
-
 double generatedAt(const RateShare &Tokens, TimePoint Now) {
   double Elapsed = std::max(toSeconds(Now - Tokens.UpdatedAt), 0.0);
   return Tokens.Generated + Elapsed * Tokens.PerSecond;
@@ -41,7 +37,8 @@
   Tokens.Generated = Generated;
   Tokens.UpdatedAt = Now;
   Tokens.PerSecond = Total * std::clamp(Share, 0.0, 1.0);
-  double Extra = std::min(ExtraTokens / std::max(Total, 1e-9), LongestWait);
+  double Extra = std::min(ExtraTokens / std::max(Total, 1e-9),
+                          toSeconds(LongestTokenWait));
   Tokens.Validity = MinValidity + std::chrono::duration_cast<Duration>(
                                       std::chrono::duration<double>(Extra));
 }
@@ -59,9 +56,8 @@
                    generatedAt(Tokens, Now);
   if (Missing <= 0)
     return Now;
-  if (Tokens.PerSecond <= 0)
-    return TimePoint::max();
-  double Wait = std::min(Missing / Tokens.PerSecond, LongestWait);
+  double Wait = std::min(Missing / std::max(Tokens.PerSecond, 1e-9),
+                         toSeconds(LongestTokenWait));
   return Now + std::chrono::duration_cast<Duration>(
                    std::chrono::duration<double>(Wait));
 }
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -169,6 +169,23 @@
   return Evidence;
 }
 
+void encode(const LimitNews &News, TimePoint Now, wire::StatedLimit &Encoded) {
+  Encoded.set_instance(News.Of.Id.str());
+  Encoded.set_born_ms(News.Of.BornMilliseconds);
+  if (News.PerSecond)
+    Encoded.set_per_second(*News.PerSecond);
+  Encoded.set_age_ms(ageOf(News.StatedAt, Now));
+}
+
+LimitNews decode(const wire::StatedLimit &Encoded, TimePoint Now) {
+  LimitNews News{{InstanceId(Encoded.instance()), Encoded.born_ms()},
+                 {},
+                 Now - milliseconds(Encoded.age_ms())};
+  if (Encoded.has_per_second() && std::isfinite(Encoded.per_second()))
+    News.PerSecond = std::clamp(Encoded.per_second(), 0.0, HighestStatedLimit);
+  return News;
+}
+
 ToldPace decodePace(const wire::UpstreamLoad &Load) {
   double Slots = Load.paced_slots();
   constexpr std::uint32_t MostEntries = 100'000;
@@ -244,6 +261,8 @@
   encode(Report.Suspects, Now, State);
   for (const auto &[Zone, Evidence] : Report.Reach)
     encode(Zone, Evidence, Now, *State.add_reach());
+  for (const LimitNews &Each : Report.Limits)
+    encode(Each, Now, *State.add_limits());
 }
 
 EntryReport decode(const wire::EntryState &State, TimePoint Now) {
@@ -294,6 +313,8 @@
   Report.Suspects = decodeSuspects(State, Now);
   for (const wire::ZoneReach &Each : State.reach())
     Report.Reach[ZoneId(Each.zone())] = decode(Each, Now);
+  for (const wire::StatedLimit &Each : State.limits())
+    Report.Limits.push_back(decode(Each, Now));
   return Report;
 }
 
@@ -338,6 +359,7 @@
   for (const auto &[Id, Entries] : Report.Denials)
     Sum.Denials[Id] += Entries;
   Sum.Entries += Report.Entries;
+  addNews(Sum.Limits, Report.Limits);
   if (Sum.Zone == Report.Zone) {
     for (const auto &[Zone, Evidence] : Report.Reach)
       Sum.Reach[Zone] = merge(Sum.Reach[Zone], Evidence);
--- a/lib/Serving/StatedLimits.cpp
+++ b/lib/Serving/StatedLimits.cpp
@@ -28,6 +28,19 @@
              : &Found->second;
 }
 
+// Drops the oldest statements if there are too many for a report.
+void keepNewest(std::vector<LimitNews> &News) {
+  if (News.size() <= MaxNews)
+    return;
+  std::nth_element(News.begin(), News.begin() + MaxNews, News.end(),
+                   [](const LimitNews &A, const LimitNews &B) {
+                     return A.StatedAt > B.StatedAt;
+                   });
+  News.resize(MaxNews);
+  std::sort(News.begin(), News.end(),
+            [](const LimitNews &A, const LimitNews &B) { return A.Of < B.Of; });
+}
+
 // Returns a number in [0, 1) that differs by entry and life.
 double phaseOf(const InstanceLife &Of, const EntryId &Self) {
   std::uint64_t Hash =
@@ -71,10 +84,18 @@
   if (Limit.PerSecond == News.PerSecond)
     return false;
   Limit.PerSecond = News.PerSecond;
-  Limit.ChangedAt = Now;
   return true;
 }
 
+bool noteOwnStatement(StatedLimits &Limits, const LimitNews &News,
+                      const EntryId &Self, TimePoint Now) {
+  bool Changed = noteStatement(Limits, News, Self, Now);
+  auto Found = Limits.ByLife.find(News.Of);
+  if (Found != Limits.ByLife.end())
+    Found->second.Own = News;
+  return Changed;
+}
+
 std::optional<double> statedLimit(const StatedLimits &Limits,
                                   const InstanceLife &Of) {
   const StatedLimit *Limit = find(Limits, Of);
@@ -119,18 +140,27 @@
 
 std::vector<LimitNews> limitNews(const StatedLimits &Limits) {
   std::vector<LimitNews> News;
-  for (const auto &[Life, Limit] : Limits.ByLife)
-    News.push_back({Life, Limit.PerSecond, Limit.StatedAt});
-  if (News.size() <= MaxNews)
-    return News;
-  std::nth_element(News.begin(), News.begin() + MaxNews, News.end(),
-                   [](const LimitNews &A, const LimitNews &B) {
-                     return A.StatedAt > B.StatedAt;
-                   });
-  News.resize(MaxNews);
+  for (const auto &[Life, Limit] : Limits.ByLife) {
+    if (Limit.Own)
+      News.push_back(*Limit.Own);
+  }
+  keepNewest(News);
   return News;
 }
 
+void addNews(std::vector<LimitNews> &All, const std::vector<LimitNews> &Added) {
+  for (const LimitNews &Each : Added) {
+    auto Found = std::lower_bound(
+        All.begin(), All.end(), Each.Of,
+        [](const LimitNews &A, const InstanceLife &Of) { return A.Of < Of; });
+    if (Found == All.end() || Found->Of != Each.Of)
+      All.insert(Found, Each);
+    else if (Found->StatedAt < Each.StatedAt)
+      *Found = Each;
+  }
+  keepNewest(All);
+}
+
 void eraseOldLimits(StatedLimits &Limits, TimePoint Now) {
   std::erase_if(Limits.ByLife, [&](const auto &Entry) {
     const StatedLimit &Limit = Entry.second;
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -48,6 +48,9 @@
       {ZoneId("south"),
        {TimePoint{seconds(7)}, TimePoint{seconds(6)}, TimePoint{seconds(8)}}},
       {ZoneId("west"), {{}, {}, TimePoint{seconds(8)}}}};
+  Report.Limits = {
+      {{InstanceId("i-8"), 80}, 3.75, TimePoint{seconds(5)}},
+      {{InstanceId("i-9"), 90}, std::nullopt, TimePoint{seconds(4)}}};
   return Report;
 }
 
@@ -74,7 +77,11 @@
   Other.DutyRenewal = 99;
   Other.ClaimedPlaces[{PoolService, "large"}] = {
       {{0, OrganisationId("o-1")}, {2, 2, 0.5}}};
+  LimitNews Ended{{InstanceId("i-8"), 80}, std::nullopt, TimePoint{seconds(6)}};
+  Other.Limits = {Ended};
   addToSummary(Sum, Other);
+  ASSERT_EQ(Sum.Limits.size(), 2u);
+  EXPECT_EQ(Sum.Limits[0], Ended);
   EXPECT_EQ(Sum.ClaimedPlaces.at({PoolService, "large"})
                 .at({0, OrganisationId("o-1")}),
             (ClaimedWork{5, 3, 5.0}));
