Send an instance no more than the limit that it states

What callers and operators would see: an engine in need gets far more requests than it takes, from entries that each know nothing of the others.

Each entry turns its part of the callers' requests for that kind of upstream into tokens for the limited one.

Requests go to the other upstreams. Where all are limited, a request waits only if its turn comes before it must be sent, and is else refused at once with the time of that turn. Slots of a limited upstream are no room for the shares of the others. A limit ends with a sealed answer without it.

--- a/include/samphirehill/Serving/Placement.h
+++ b/include/samphirehill/Serving/Placement.h
@@ -15,11 +15,15 @@
   Absent, // no untried upstream serves the ServiceModel
   Full,   // such upstreams exist, but none may take the request now
   Quiet,  // all upstreams of the ServiceModel have asked for a pause
+  // The limits that upstreams have stated keep this entry from sending to any
+  // untried one that hasn't asked for a pause.
+  Limited,
   // All upstreams of the ServiceModel are in zones that are cut off.
   Unreachable,
 };
 
-// Slots of one ServiceModel, and the requests in them.
+// Slots of one ServiceModel, and the requests in them. Without upstreams that
+// state a limit: their slots are not what bounds the requests.
 struct Occupancy {
   double Target = 0; // slots that the entries together may fill
   int Own = 0;       // requests of this entry
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -155,6 +155,8 @@
   bool hearsAllZones() const;
   // Logs the parts of prompts that have come to be blamed or been released.
   void logBlamedParts();
+  // Sets how old the other entries' reports of load are.
+  void updateReportAge();
   void tick(); // periodic work, every TickPeriod
   PlatformSource platformSource() const;
   void updatePlatformSource();
--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -13,10 +13,12 @@
 #include "samphirehill/Routing/ZoneSpill.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/InstanceNotices.h"
+#include "samphirehill/Serving/StatedLimits.h"
 #include "samphirehill/Serving/UpstreamLoad.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +39,12 @@
   auto operator<=>(const ServiceModel &) const = default;
 };
 
+// Requests per second that callers send, by the upstreams that may serve them.
+struct TimedDemand {
+  TimePoint At{};
+  std::map<ServiceModel, double> PerSecond;
+};
+
 struct UpstreamState {
   Upstream Info;
   UpstreamLoad OwnLoad;
@@ -173,6 +181,7 @@
   PlacementLimits Limits;
   std::map<UpstreamKey, UpstreamState> Upstreams;
   InstanceNotices Notices;
+  StatedLimits Stated;
   // Whether the upstreams have been listed. Those of the first list are at full
   // pace, as the other entries use them already.
   bool Listed = false;
@@ -182,6 +191,9 @@
   std::map<InstanceLife, TimePoint> Ended;
   // Requests per second that callers send to the peers.
   std::map<ServiceModel, double> PeerDemand;
+  // Requests per second that callers sent to this entry in the last seconds;
+  // the oldest first. See updateLimitShares.
+  std::deque<TimedDemand> OwnDemand;
   EntryReach Reach;
 };
 
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -43,17 +43,28 @@
                  Duration TimeLeft);
 
 // Returns whether a request that began to wait at Since could still have met
-// its objective then and no longer can at Now, because all upstreams are full.
-// Such a request should be refused, so that its caller can retry when the load
-// is lower. A request that was late when it began to wait is such a retry, and
-// goes on waiting.
+// its objective then and no longer can at Now, because all upstreams are full
+// or limited. Such a request should be refused, so that its caller can retry
+// when the load is lower. A request that was late when it began to wait is such
+// a retry, and goes on waiting.
 bool missedObjectiveWhileWaiting(PlacementFailure Reason, TimePoint Since,
                                  TimePoint StartBy, TimePoint Now);
 
+// Returns by how much a caller that is refused should return later than a place
+// becomes free for it, so that callers that are refused together don't return
+// at the same moment. Draw is a random number, uniform in [0, 1).
+Duration spreadReturn(double Draw);
+
+// Returns the latest time at which a request should be sent that waits, with
+// TimeLeft until its deadline: StartBy, or if that has passed, the end of the
+// time that such a request may wait.
+TimePoint latestTurn(const WaitLimits &Limits, TimePoint StartBy,
+                     Duration TimeLeft, TimePoint Now);
+
 // Returns the delay after which a caller that is refused for Reason should
 // retry: when a place is likely to be free, but early enough to be served
-// within TimeLeft. If all upstreams have asked for a pause or can't be reached,
-// the time is known: Left. See Placement::RetryAt.
+// within TimeLeft. If all upstreams have asked for a pause, can't be reached or
+// are limited, the time is known: Left. See Placement::RetryAt.
 Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left);
 
 // Rate of events, as an exponentially decaying average.
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -1,7 +1,9 @@
 #include "samphirehill/Serving/Placement.h"
 #include "PlacementScore.h"
 
+#include "samphirehill/Serving/LimitedPlacement.h"
 #include "samphirehill/Serving/UpstreamPacing.h"
+#include "samphirehill/Serving/WaitPolicy.h"
 
 #include <algorithm>
 #include <cmath>
@@ -39,7 +41,8 @@
 bool mayTake(const UpstreamBook &Book, const UpstreamState &State,
              const PlacementQuery &Query, TimePoint Now) {
   const Upstream &Info = State.Info;
-  if (isQuiet(Book, Info, Query))
+  if (isQuiet(Book, Info, Query) ||
+      (isLimited(Book, Info) && isHeldBack(Book, Info, Now)))
     return false;
   if (State.OwnLoad.Running + State.PeerLoad.Running >=
       Info.Slots + Query.ExtraSlots)
@@ -95,11 +98,16 @@
   ZoneRoom Others;
 };
 
-void addRoom(ZoneRooms &Rooms, const UpstreamState &State,
-             const PlacementQuery &Query, const PlacementLimits &Limits) {
+void addRoom(ZoneRooms &Rooms, const UpstreamBook &Book,
+             const UpstreamState &State, const PlacementQuery &Query) {
   ZoneRoom &Zone = State.Info.Zone == Query.OwnZone ? Rooms.Own : Rooms.Others;
-  Zone.Places += Query.Engine ? targetSlots(State, Query, Limits)
-                              : static_cast<double>(State.Info.Slots);
+  double Places = Query.Engine ? targetSlots(State, Query, Book.Limits)
+                               : static_cast<double>(State.Info.Slots);
+  if (isLimited(Book, State.Info))
+    Places = placesWithinLimit(
+        Book, State.Info, Places,
+        holdingSeconds(State, totalLoad(State), Query, Book.Limits));
+  Zone.Places += Places;
   Zone.Taken += State.OwnLoad.Running + State.PeerLoad.Running;
 }
 
@@ -169,20 +177,29 @@
   return Candidates.back();
 }
 
+// Upstreams of the ServiceModel that get no request now, by the cause.
+struct HeldBackCounts {
+  int CutOff = 0;
+  int Quiet = 0;        // tried ones included
+  int UntriedQuiet = 0; // these and the following are untried
+  int Limited = 0;
+  int Untried = 0; // all
+};
+
 // Sets when a request for which nothing was chosen may be sent again, and why.
-void setRetry(Placement &Result, int QuietCount, int CutOffCount,
+void setRetry(Placement &Result, const HeldBackCounts &Counts,
               const UpstreamBook &Book, const PlacementQuery &Query,
               TimePoint Now) {
-  if (QuietCount > 0 && QuietCount == Result.Candidates)
+  if (Counts.Quiet > 0 && Counts.Quiet == Result.Candidates)
     Result.Reason = PlacementFailure::Quiet;
-  if (Result.Candidates > 0 || CutOffCount == 0)
+  else if (Counts.Limited > 0 &&
+           Counts.Limited + Counts.UntriedQuiet == Counts.Untried)
+    Result.Reason = PlacementFailure::Limited;
+  if (Result.Candidates > 0 || Counts.CutOff == 0)
     return;
   Result.Reason = PlacementFailure::Unreachable;
-  // The callers would otherwise all return at the same moment.
-  constexpr Duration ReturnSpread = seconds(1);
   ReachSettings Settings = Book.Reach.Settings;
-  Settings.RotationTime +=
-      std::chrono::duration_cast<Duration>(ReturnSpread * Query.Draw);
+  Settings.RotationTime += spreadReturn(Query.Draw);
   Result.RetryAt =
       Query.NowWithSuspension +
       returnAfterRotation(Book.Reach.Taking, Settings, Query.TimeLeft, Now);
@@ -198,6 +215,8 @@
     return "full";
   case PlacementFailure::Quiet:
     return "quiet";
+  case PlacementFailure::Limited:
+    return "limited";
   case PlacementFailure::Unreachable:
     return "unreachable";
   }
@@ -209,8 +228,7 @@
   Placement Result;
   std::vector<Candidate> Candidates;
   bool AllAvoided = true;
-  int QuietCount = 0;
-  int CutOffCount = 0;
+  HeldBackCounts Counts;
   Occupancy &Occupied = Result.Occupied;
   ZoneRooms Rooms;
   bool SharesSlots =
@@ -222,26 +240,32 @@
         hasEnded(Book, lifeOf(Info), Now))
       continue;
     if (Book.Reach.CutOff.contains(Info.Zone)) {
-      ++CutOffCount;
+      ++Counts.CutOff;
       continue;
     }
     ++Result.Candidates;
-    Occupied.Target += SharesSlots ? targetSlots(State, Query, Book.Limits)
-                                   : static_cast<double>(Info.Slots);
-    Occupied.Own += State.OwnLoad.Running;
-    Occupied.All += State.OwnLoad.Running + State.PeerLoad.Running;
-    if (isQuiet(Book, Info, Query)) {
+    bool Limited = isLimited(Book, Info);
+    if (!Limited) {
+      Occupied.Target += SharesSlots ? targetSlots(State, Query, Book.Limits)
+                                     : static_cast<double>(Info.Slots);
+      Occupied.Own += State.OwnLoad.Running;
+      Occupied.All += State.OwnLoad.Running + State.PeerLoad.Running;
+    }
+    bool Quiet = isQuiet(Book, Info, Query);
+    if (Quiet) {
       TimePoint Until = quietUntil(Book.Notices, lifeOf(Info));
       Result.RetryAt =
-          QuietCount == 0 ? Until : std::min(Result.RetryAt, Until);
-      ++QuietCount;
+          Counts.Quiet == 0 ? Until : std::min(Result.RetryAt, Until);
+      ++Counts.Quiet;
     }
     bool Avoided = Now < State.AvoidUntil;
-    if (!Avoided && !isCold(State, Query.ColdPerSecond, Now) &&
-        !isQuiet(Book, Info, Query))
-      addRoom(Rooms, State, Query, Book.Limits);
+    if (!Avoided && !isCold(State, Query.ColdPerSecond, Now) && !Quiet)
+      addRoom(Rooms, Book, State, Query);
     if (Query.Tried.contains(Key))
       continue;
+    ++Counts.Untried;
+    Counts.UntriedQuiet += Quiet;
+    Counts.Limited += !Quiet && Limited && isHeldBack(Book, Info, Now);
     Result.Reason = PlacementFailure::Full;
     if (!mayTake(Book, State, Query, Now))
       continue;
@@ -254,9 +278,14 @@
     Candidates.push_back(
         {&State, Load, score(State, Load, Query, Book.Limits)});
   }
-  setRetry(Result, QuietCount, CutOffCount, Book, Query, Now);
-  if (Candidates.empty() || (SharesSlots && !Query.WithinShare &&
-                             usesItsShare(Occupied, Query, Book.Limits)))
+  setRetry(Result, Counts, Book, Query, Now);
+  // The tokens for a limited upstream are this entry's share of it.
+  if (SharesSlots && !Query.WithinShare &&
+      usesItsShare(Occupied, Query, Book.Limits))
+    std::erase_if(Candidates, [&](const Candidate &Each) {
+      return !isLimited(Book, Each.State->Info);
+    });
+  if (Candidates.empty())
     return Result;
   double Draw = keepOneZone(Candidates, Rooms, Query, Book.Limits);
   auto HasBetterScore = [](const Candidate &A, const Candidate &B) {
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -3,6 +3,7 @@
 #include "samphirehill/Core/Hash.h"
 #include "samphirehill/Serving/EntryReach.h"
 #include "samphirehill/Serving/EventSplitter.h"
+#include "samphirehill/Serving/LimitedPlacement.h"
 #include "samphirehill/Serving/Placement.h"
 #include "samphirehill/Serving/UpstreamPacing.h"
 
@@ -47,6 +48,8 @@
 
 } // namespace
 
+using RequestQueue = std::vector<std::shared_ptr<RequestFlow>>;
+
 enum class FlowState {
   Waiting,   // for an upstream
   Sent,      // to an upstream; the answer, if any, is being collected
@@ -197,16 +200,20 @@
     return Found == Owner.SendRates.end() ? EventRate{} : Found->second;
   }
 
-  // Refuses the request at once if all upstreams that could serve it have asked
-  // for a pause or can't be reached, and none has begun to work on it. Returns
-  // whether the request was refused.
-  bool refuseIfHopeless() {
-    bool Unreachable = LastReason == PlacementFailure::Unreachable;
-    if ((!Unreachable && LastReason != PlacementFailure::Quiet) || hasBegun())
+  // Refuses the request at once if none has begun to work on it and all
+  // upstreams that could serve it have asked for a pause, can't be reached, or
+  // are limited and its turn, after the requests Ahead, would come too late.
+  // Returns whether the request was refused.
+  bool refuseIfHopeless(const RequestQueue &Ahead) {
+    if (hasBegun())
       return false;
-    giveUp(Unreachable ? ResultCode::NoUpstream : ResultCode::Overloaded,
-           Unreachable ? "out_of_reach" : "all_quiet");
-    return true;
+    if (LastReason == PlacementFailure::Unreachable)
+      giveUp(ResultCode::NoUpstream, "out_of_reach");
+    else if (LastReason == PlacementFailure::Quiet)
+      giveUp(ResultCode::Overloaded, "all_quiet");
+    else if (LastReason == PlacementFailure::Limited && !comesInTime(Ahead))
+      giveUp(ResultCode::Overloaded, "all_limited");
+    return State == FlowState::Done;
   }
 
   void beginWaiting() {
@@ -323,6 +330,20 @@
 
   ServiceModel serviceModel() const { return {Shape->Id, model()}; }
 
+  // Returns whether the limits of upstreams let the request be sent in time,
+  // after those of Ahead that wait for the same kind of place. Sets RetryAt.
+  bool comesInTime(const RequestQueue &Ahead) {
+    auto Count = std::count_if(Ahead.begin(), Ahead.end(), [&](const auto &A) {
+      return A->State == FlowState::Waiting && A->sharesPlaces(*this);
+    });
+    TimePoint Turn = turnByLimits(shared().Book, query(),
+                                  static_cast<std::size_t>(Count), now());
+    RetryAt = shared().Timers.nowWithSuspension() + (Turn - now()) +
+              spreadReturn(Owner.randomFraction());
+    return Turn <=
+           latestTurn(Owner.Settings.Wait, startBy(), Deadline - now(), now());
+  }
+
   PlacementQuery query() const {
     PlacementQuery Query;
     Query.Service = Shape->Id;
@@ -786,7 +807,7 @@
       return true;
     if (RetriesExhausted)
       return false;
-    if (refuseIfHopeless())
+    if (refuseIfHopeless(Owner.Waiting))
       return true;
     beginWaiting();
     Owner.Waiting.push_back(shared_from_this());
@@ -1045,7 +1066,7 @@
 void RequestFlows::begin(const std::shared_ptr<RequestFlow> &Flow) {
   if (!Flow->admit())
     return;
-  if (Flow->trySend() || Flow->refuseIfHopeless())
+  if (Flow->trySend() || Flow->refuseIfHopeless(Waiting))
     return;
   Flow->beginWaiting();
   Waiting.push_back(Flow);
@@ -1087,7 +1108,7 @@
     std::shared_ptr<RequestFlow> Next = Unsent[Index];
     Unsent.erase(Unsent.begin() + static_cast<std::ptrdiff_t>(Index));
     if (!Next->refuseIfBlamed() && !Next->trySend() &&
-        !Next->refuseIfHopeless())
+        !Next->refuseIfHopeless(StillWaiting))
       StillWaiting.push_back(Next);
   }
   Waiting.insert(Waiting.end(), StillWaiting.begin(), StillWaiting.end());
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -3,6 +3,7 @@
 #include "samphirehill/Core/Hash.h"
 #include "samphirehill/Core/JsonParts.h"
 #include "samphirehill/Serving/EntryReach.h"
+#include "samphirehill/Serving/LimitedPlacement.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -278,8 +279,7 @@
           return retryJoin({ResultCode::Conflict, "own entry is outdated"});
         PeerRetry = Timers.after(peerRelistDelay(), [this] { listPeers(); });
         PeersListed = true;
-        Book.Limits.ManyEntries = Peers.usesRelays();
-        Book.Limits.ReportAge = Peers.meanLoadAge();
+        updateReportAge();
         Groups.setPeersKnown();
       });
 }
@@ -421,6 +421,8 @@
                                 const AnswerFacts &Answer) {
   for (const std::string &Each : Answer.Unreadable)
     Metrics.count("unreadable_notices", "notice", Each);
+  if (noteAnswerLimit(Book, From, Answer, Metrics, Timers.now()))
+    Peers.sendSoon();
   TimePoint Now = Timers.nowWithSuspension();
   if (Answer.QuietFor) {
     double Spread = std::uniform_real_distribution<double>(0, 1)(Random);
@@ -501,6 +503,7 @@
   if (Now - Peers.contactGainedAt() <= BreakOffSharing)
     addBreakOffs(Report.BreakOffs, refusedBreakOffs(Crashes, Now));
   Report.Suspects = suspectReport(Suspects, Now);
+  Report.Limits = limitNews(Book.Stated);
   if (Groups.isDutyHolder()) {
     Report.DutyTerm = Groups.dutyRecord().Term;
     Report.DutyRenewal = Groups.dutyRecord().Renewal;
@@ -530,6 +533,7 @@
   for (const BreakOff &Each : Report.BreakOffs)
     noteBreakOff(Crashes, Each);
   applySuspects(Report.Suspects);
+  applyLimitNews(Book, Report.Limits, Timers.now());
 }
 
 void ServingEntry::applySuspects(const SuspectReport &Report) {
@@ -676,6 +680,11 @@
   Metrics.set("platform_followed", Source == PlatformSource::None ? 0 : 1);
 }
 
+void ServingEntry::updateReportAge() {
+  Book.Limits.ManyEntries = Peers.usesRelays();
+  Book.Limits.ReportAge = Peers.meanLoadAge();
+}
+
 void ServingEntry::tick() {
   TimePoint Now = Timers.now();
   if (Reader.Reconcile)
@@ -691,10 +700,8 @@
   logBlamedParts();
   refreshLoad();
   updateReadiness();
-  if (PeersListed) {
-    Book.Limits.ManyEntries = Peers.usesRelays();
-    Book.Limits.ReportAge = Peers.meanLoadAge();
-  }
+  if (PeersListed)
+    updateReportAge();
   int Entries = static_cast<int>(Peers.peers().size()) + 1;
   if (Entries > 1) {
     Retries.Bounds = retryBounds(Settings, Entries);
@@ -710,6 +717,7 @@
   }
   for (const InstanceId &Id : Expired)
     removeInstance(Id);
+  updateLimitShares(Book, Flows.requestRates(), Metrics, Now);
   showPaces(Paces, Book, Metrics, Now);
   Metrics.set("requests_active", static_cast<double>(Flows.activeCount()));
   Metrics.set("held_bytes", static_cast<double>(Pool.bytes()->heldBytes()));
--- a/lib/Serving/UpstreamBook.cpp
+++ b/lib/Serving/UpstreamBook.cpp
@@ -103,6 +103,7 @@
   ++State.OwnLoad.Running;
   State.OwnLoad.PendingTokens += Query.PromptTokens;
   countSent(State, Book.Limits, Now);
+  noteSentByLimit(Book.Stated, lifeOf(State.Info), Now);
   if (!isCold(State, Query.ColdPerSecond, Now))
     return;
   State.ColdTokens =
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -16,6 +16,7 @@
 constexpr Duration OverloadDuration = milliseconds(1'600);
 constexpr double MaxRetryAfterFraction = 0.3; // of the caller's remaining time
 constexpr Duration MinRetryAfter = milliseconds(50);
+constexpr Duration ReturnSpread = seconds(1);
 // Time constant of an EventRate's decay: in this time the places of a group
 // become free a few times.
 constexpr double RateDecaySeconds = 1.0;
@@ -53,15 +54,31 @@
 
 bool missedObjectiveWhileWaiting(PlacementFailure Reason, TimePoint Since,
                                  TimePoint StartBy, TimePoint Now) {
-  return Reason == PlacementFailure::Full && Since <= StartBy && Now > StartBy;
+  bool Scarce =
+      Reason == PlacementFailure::Full || Reason == PlacementFailure::Limited;
+  return Scarce && Since <= StartBy && Now > StartBy;
+}
+
+Duration spreadReturn(double Draw) {
+  return std::chrono::duration_cast<Duration>(ReturnSpread * Draw);
+}
+
+TimePoint latestTurn(const WaitLimits &Limits, TimePoint StartBy,
+                     Duration TimeLeft, TimePoint Now) {
+  return Now <= StartBy
+             ? StartBy
+             : Now + maxWait(Limits, PlacementFailure::Limited, TimeLeft);
 }
 
 Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left) {
   if (Reason == PlacementFailure::Quiet ||
       Reason == PlacementFailure::Unreachable)
     return std::max(Left, MinRetryAfter);
-  Duration Expected =
-      Reason == PlacementFailure::Absent ? GroupRepairTime : OverloadDuration;
+  Duration Expected = OverloadDuration;
+  if (Reason == PlacementFailure::Absent)
+    Expected = GroupRepairTime;
+  if (Reason == PlacementFailure::Limited)
+    Expected = Left;
   auto Latest =
       std::chrono::duration_cast<Duration>(TimeLeft * MaxRetryAfterFraction);
   return std::max(std::min(Expected, Latest), MinRetryAfter);
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1,6 +1,8 @@
 // Tests a request's way from a caller's socket to scripted engines and back.
 #include "samphirehill/Serving/RequestFlow.h"
 
+#include "samphirehill/Serving/LimitedPlacement.h"
+
 #include "Serving/Loopback.h"
 #include "Serving/TestFleet.h"
 #include "Serving/TestWire.h"
@@ -58,6 +60,8 @@
       noteLeaving(Book.Notices, From, Now);
     if (Answer.QuietFor)
       noteQuiet(Book.Notices, From, *Answer.QuietFor, 0, Now);
+    if (noteAnswerLimit(Book, From, Answer, Metrics, Timers.now()))
+      updateLimitShares(Book, Flows.requestRates(), Metrics, Timers.now());
   }
 
   void addRoute(const std::string &Prefix, RequestKind Kind,
@@ -352,6 +356,59 @@
   EXPECT_EQ(Quiet.requests(), 1);
 }
 
+TEST_F(RequestFlowTest, SendsElsewhereWhileAnEngineIsLimited) {
+  ScriptedServer &Limited =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(
+            answer("200 OK\r\nid: r1\r\nseal: s\r\nlimit: 0.3", "A"));
+      });
+  addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s", "B"));
+  });
+  send("/unsafe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+  for (int Sent = 0; Sent < 3; ++Sent) {
+    Received.clear();
+    send("/unsafe/");
+    EXPECT_TRUE(awaitAnswer("\r\n\r\nB"));
+  }
+  EXPECT_EQ(Limited.requests(), 1);
+}
+
+TEST_F(RequestFlowTest, RefusesImmediatelyWhenItsTurnAtLimitedEnginesIsLate) {
+  ScriptedServer &Limited =
+      addEngine(PlainService, [](ScriptedConnection &Connection, int) {
+        Connection.send(
+            answer("200 OK\r\nid: r1\r\nseal: s\r\nlimit: 0.3", "A"));
+      });
+  Routes[0].Objective = milliseconds(500);
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nA"));
+  Received.clear();
+  TimePoint Start = Timers.now();
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("503"));
+  EXPECT_TRUE(awaitAnswer("retry: yes"));
+  EXPECT_LT(toMilliseconds(Timers.now() - Start), 250);
+  EXPECT_EQ(Limited.requests(), 1);
+}
+
+TEST_F(RequestFlowTest, WaitsForItsTurnAtALimitedEngine) {
+  addEngine(PlainService, [](ScriptedConnection &Connection, int Number) {
+    Connection.send(answer("200 OK\r\nid: r1\r\nseal: s\r\nlimit: 4",
+                           "run " + std::to_string(Number)));
+  });
+  Routes[0].Objective = seconds(2);
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("run 1"));
+  TimePoint Start = Timers.now();
+  for (int Number = 2; Number <= 4; ++Number) {
+    send("/safe/");
+    EXPECT_TRUE(awaitAnswer("run " + std::to_string(Number)));
+  }
+  EXPECT_GT(toMilliseconds(Timers.now() - Start), 490);
+}
+
 // Power is back and all entries are new processes: callers reach them some
 // milliseconds before they have read the configuration.
 TEST_F(RequestFlowTest, HoldsRequestUntilTheFirstConfiguration) {
