Compute a request's turn and its first event outside RequestFlow

RequestFlow.cpp had grown; the expected first event and the wait for a limited upstream are functions over plain structs now. No change of behaviour.

--- a/include/samphirehill/Serving/LimitedPlacement.h
+++ b/include/samphirehill/Serving/LimitedPlacement.h
@@ -43,11 +43,11 @@
 double placesWithinLimit(const UpstreamBook &Book, const Upstream &Info,
                          double Places, double Holding);
 
-// Returns when a request for Query may be sent at the earliest, if all
-// upstreams that could take it are held back by their limits and Ahead requests
-// of this entry wait already; after LongestTokenWait if never.
-TimePoint turnByLimits(const UpstreamBook &Book, const PlacementQuery &Query,
-                       std::size_t Ahead, TimePoint Now);
+// Returns after what time a request for Query may be sent, if the limits of the
+// upstreams that could take it are what holds it back and Ahead requests of
+// this entry wait already; LongestTokenWait if never.
+Duration waitForLimits(const UpstreamBook &Book, const PlacementQuery &Query,
+                       std::ptrdiff_t Ahead, TimePoint Now);
 
 } // namespace samphirehill::serving
 
--- a/include/samphirehill/Serving/Placement.h
+++ b/include/samphirehill/Serving/Placement.h
@@ -52,6 +52,12 @@
 Placement place(const UpstreamBook &Book, const PlacementQuery &Query,
                 TimePoint Now);
 
+// Returns the expected time to the first event of a request for Query that has
+// just been sent to State's upstream, so that its load includes the request;
+// zero for a plain service.
+Duration expectedFirstAt(const UpstreamState &State,
+                         const PlacementQuery &Query);
+
 } // namespace samphirehill::serving
 
 #endif // SAMPHIREHILL_SERVING_PLACEMENT_H
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -84,6 +84,7 @@
 };
 
 class RequestFlow;
+using RequestQueue = std::vector<std::shared_ptr<RequestFlow>>;
 
 // All requests of this entry that are in progress. Used from one thread.
 class RequestFlows {
@@ -146,9 +147,9 @@
   FlowSettings Settings;
   std::shared_ptr<const Configuration> Config;
   std::unordered_set<std::shared_ptr<RequestFlow>> Flows;
-  std::vector<std::shared_ptr<RequestFlow>> Waiting;
+  RequestQueue Waiting;
   // Requests that arrived before the first configuration.
-  std::vector<std::shared_ptr<RequestFlow>> Unconfigured;
+  RequestQueue Unconfigured;
   // Rate at which requests are sent; only for kinds that had a request sent.
   std::map<ServiceModel, EventRate> SendRates;
   std::map<ServiceModel, EventRate> ArrivalRates;
--- a/include/samphirehill/Serving/WaitPolicy.h
+++ b/include/samphirehill/Serving/WaitPolicy.h
@@ -55,11 +55,11 @@
 // at the same moment. Draw is a random number, uniform in [0, 1).
 Duration spreadReturn(double Draw);
 
-// Returns the latest time at which a request should be sent that waits, with
-// TimeLeft until its deadline: StartBy, or if that has passed, the end of the
-// time that such a request may wait.
-TimePoint latestTurn(const WaitLimits &Limits, TimePoint StartBy,
-                     Duration TimeLeft, TimePoint Now);
+// Returns how long a request may wait whose turn is known. ToStartBy is the
+// time until it must be sent to meet its objective. If that has passed, it may
+// wait as long as others with TimeLeft until their deadline.
+Duration longestWaitForTurn(const WaitLimits &Limits, Duration ToStartBy,
+                            Duration TimeLeft);
 
 // Returns the delay after which a caller that is refused for Reason should
 // retry: when a place is likely to be free, but early enough to be served
--- a/lib/Serving/LimitedPlacement.cpp
+++ b/lib/Serving/LimitedPlacement.cpp
@@ -120,20 +120,20 @@
   return Limit ? std::min(Places, *Limit * Holding) : Places;
 }
 
-TimePoint turnByLimits(const UpstreamBook &Book, const PlacementQuery &Query,
-                       std::size_t Ahead, TimePoint Now) {
+Duration waitForLimits(const UpstreamBook &Book, const PlacementQuery &Query,
+                       std::ptrdiff_t Ahead, TimePoint Now) {
   std::vector<TimePoint> Turns;
   for (const auto &[Key, State] : Book.Upstreams) {
     if (!serves(Book, State.Info, Query))
       continue;
-    for (std::size_t Each = 0; Each <= Ahead; ++Each)
-      Turns.push_back(takesAt(Book.Stated, lifeOf(State.Info), Each, Now));
+    for (std::ptrdiff_t Each = 0; Each <= Ahead; ++Each)
+      Turns.push_back(takesAt(Book.Stated, lifeOf(State.Info),
+                              static_cast<std::size_t>(Each), Now));
   }
-  if (Turns.size() <= Ahead)
-    return Now + LongestTokenWait;
-  auto Turn = Turns.begin() + static_cast<std::ptrdiff_t>(Ahead);
-  std::nth_element(Turns.begin(), Turn, Turns.end());
-  return *Turn;
+  if (Turns.empty())
+    return LongestTokenWait;
+  std::nth_element(Turns.begin(), Turns.begin() + Ahead, Turns.end());
+  return Turns[static_cast<std::size_t>(Ahead)] - Now;
 }
 
 } // namespace samphirehill::serving
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -207,6 +207,14 @@
 
 } // namespace
 
+Duration expectedFirstAt(const UpstreamState &State,
+                         const PlacementQuery &Query) {
+  if (!Query.Engine)
+    return Duration::zero();
+  return expectedFirstEvent(totalLoad(State), 0, *Query.Engine,
+                            State.Info.Pace * State.Slowness);
+}
+
 const char *toString(PlacementFailure Reason) {
   switch (Reason) {
   case PlacementFailure::Absent:
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -48,8 +48,6 @@
 
 } // namespace
 
-using RequestQueue = std::vector<std::shared_ptr<RequestFlow>>;
-
 enum class FlowState {
   Waiting,   // for an upstream
   Sent,      // to an upstream; the answer, if any, is being collected
@@ -219,6 +217,7 @@
   void beginWaiting() {
     State = FlowState::Waiting;
     WaitStart = now();
+    Owner.Waiting.push_back(shared_from_this());
     spdlog::info("event=queued request={} reason={} candidates_tried={}",
                  Facts.Id, toString(LastReason), Tried.size());
   }
@@ -336,12 +335,11 @@
     auto Count = std::count_if(Ahead.begin(), Ahead.end(), [&](const auto &A) {
       return A->State == FlowState::Waiting && A->sharesPlaces(*this);
     });
-    TimePoint Turn = turnByLimits(shared().Book, query(),
-                                  static_cast<std::size_t>(Count), now());
-    RetryAt = shared().Timers.nowWithSuspension() + (Turn - now()) +
+    Duration Wait = waitForLimits(shared().Book, query(), Count, now());
+    RetryAt = shared().Timers.nowWithSuspension() + Wait +
               spreadReturn(Owner.randomFraction());
-    return Turn <=
-           latestTurn(Owner.Settings.Wait, startBy(), Deadline - now(), now());
+    return Wait <= longestWaitForTurn(Owner.Settings.Wait, startBy() - now(),
+                                      Deadline - now());
   }
 
   PlacementQuery query() const {
@@ -402,7 +400,7 @@
     ProvedSound = false;
     PlacementQuery Query = query();
     noteSent(shared().Book, Key, Query, AttemptStart);
-    noteExpectedFirst(Key, Query);
+    ExpectedFirst = expectedFirstAt(shared().Book.Upstreams.at(Key), Query);
     noteEvent(Owner.SendRates[serviceModel()], AttemptStart);
     shared().Metrics.count(
         "sends", "zone", Chosen.Zone == Owner.Settings.Zone ? "own" : "other");
@@ -428,18 +426,6 @@
         Attempt->connectionRequests());
   }
 
-  void noteExpectedFirst(const UpstreamKey &Key, const PlacementQuery &Query) {
-    ExpectedFirst = Duration::zero();
-    if (!Query.Engine)
-      return;
-    const UpstreamState &State = shared().Book.Upstreams.at(Key);
-    UpstreamLoad Load = State.OwnLoad;
-    Load += State.PeerLoad;
-    // Load already includes the prompt of this request.
-    ExpectedFirst = expectedFirstEvent(Load, 0, *Query.Engine,
-                                       State.Info.Pace * State.Slowness);
-  }
-
   ExchangeHandlers handlers() {
     std::weak_ptr<RequestFlow> Weak = weak_from_this();
     ExchangeHandlers Handlers;
@@ -810,7 +796,6 @@
     if (refuseIfHopeless(Owner.Waiting))
       return true;
     beginWaiting();
-    Owner.Waiting.push_back(shared_from_this());
     return true;
   }
 
@@ -1069,12 +1054,11 @@
   if (Flow->trySend() || Flow->refuseIfHopeless(Waiting))
     return;
   Flow->beginWaiting();
-  Waiting.push_back(Flow);
   refuseExcess(*Flow);
 }
 
 void RequestFlows::refuseExcess(const RequestFlow &Newest) {
-  std::vector<std::shared_ptr<RequestFlow>> Queue;
+  RequestQueue Queue;
   std::vector<WaitingRequest> Ranked;
   for (const std::shared_ptr<RequestFlow> &Flow : Waiting) {
     if (Flow->state() != FlowState::Waiting || !Flow->sharesPlaces(Newest))
@@ -1093,12 +1077,12 @@
   if (Dispatching || Waiting.empty())
     return;
   Dispatching = true;
-  std::vector<std::shared_ptr<RequestFlow>> Unsent = std::exchange(Waiting, {});
+  RequestQueue Unsent = std::exchange(Waiting, {});
   std::erase_if(Unsent, [](const std::shared_ptr<RequestFlow> &Flow) {
     return Flow->state() != FlowState::Waiting;
   });
   TimePoint Now = Shared.Timers.now();
-  std::vector<std::shared_ptr<RequestFlow>> StillWaiting;
+  RequestQueue StillWaiting;
   while (!Unsent.empty()) {
     std::vector<WaitingRequest> Ranked;
     Ranked.reserve(Unsent.size());
@@ -1116,14 +1100,14 @@
 }
 
 void RequestFlows::endAll() {
-  std::vector<std::shared_ptr<RequestFlow>> Open(Flows.begin(), Flows.end());
+  RequestQueue Open(Flows.begin(), Flows.end());
   Waiting.clear(); // or a place that becomes free would be given to one of them
   for (const std::shared_ptr<RequestFlow> &Flow : Open)
     Flow->endAtStop();
 }
 
 void RequestFlows::sweep() {
-  std::vector<std::shared_ptr<RequestFlow>> Open(Flows.begin(), Flows.end());
+  RequestQueue Open(Flows.begin(), Flows.end());
   for (const std::shared_ptr<RequestFlow> &Flow : Open)
     Flow->checkTimeouts();
   dispatchWaiting();
--- a/lib/Serving/WaitPolicy.cpp
+++ b/lib/Serving/WaitPolicy.cpp
@@ -63,11 +63,11 @@
   return std::chrono::duration_cast<Duration>(ReturnSpread * Draw);
 }
 
-TimePoint latestTurn(const WaitLimits &Limits, TimePoint StartBy,
-                     Duration TimeLeft, TimePoint Now) {
-  return Now <= StartBy
-             ? StartBy
-             : Now + maxWait(Limits, PlacementFailure::Limited, TimeLeft);
+Duration longestWaitForTurn(const WaitLimits &Limits, Duration ToStartBy,
+                            Duration TimeLeft) {
+  return ToStartBy >= Duration::zero()
+             ? ToStartBy
+             : maxWait(Limits, PlacementFailure::Limited, TimeLeft);
 }
 
 Duration retryAfter(PlacementFailure Reason, Duration TimeLeft, Duration Left) {
--- a/test/Serving/LimitedPlacementTest.cpp
+++ b/test/Serving/LimitedPlacementTest.cpp
@@ -131,14 +131,13 @@
   state(0, 1, Start);
   state(1, 1, Start);
   updateShares(10, Start);
-  TimePoint First = turnByLimits(Book, Query, 0, Start);
-  TimePoint Second = turnByLimits(Book, Query, 1, Start);
-  EXPECT_LE(First, Start + seconds(1));
+  Duration First = waitForLimits(Book, Query, 0, Start);
+  Duration Second = waitForLimits(Book, Query, 1, Start);
   EXPECT_LE(First, Second);
-  EXPECT_LE(Second, Start + seconds(1));
-  EXPECT_GT(turnByLimits(Book, Query, 2, Start), Start + seconds(1));
+  EXPECT_LE(Second, seconds(1));
+  EXPECT_GT(waitForLimits(Book, Query, 2, Start), seconds(1));
   Query.Tried = {Usable[0].Key, Usable[1].Key};
-  EXPECT_EQ(turnByLimits(Book, Query, 0, Start), Start + LongestTokenWait);
+  EXPECT_EQ(waitForLimits(Book, Query, 0, Start), LongestTokenWait);
 }
 
 TEST_F(LimitedPlacementTest, CountsTheRoomThatTheLimitLeaves) {
