--- a/include/samphirehill/Serving/HttpMessage.h
+++ b/include/samphirehill/Serving/HttpMessage.h
@@ -123,6 +123,13 @@
   HeaderList Headers;
 };
 
+// Returns whether the body of an answer may be an event stream.
+bool mayHoldEvents(const HttpResponse &Head);
+
+// Returns whether callers take Status for a promise that their request was not
+// run.
+bool promisesNotRun(int Status);
+
 } // namespace samphirehill::serving
 
 #endif // SAMPHIREHILL_SERVING_HTTPMESSAGE_H
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -137,10 +137,11 @@
   void remove(const std::shared_ptr<RequestFlow> &Flow);
   // Returns a random number, uniform in [0, 1).
   double randomFraction();
-  // Finds out whether Engine, to which the connection of a request broke off,
-  // has crashed. Prompt holds the request's shared parts if it may be the
-  // cause, else nothing.
-  void checkCrash(const Upstream &Engine, std::vector<PromptPart> Prompt);
+  // Finds out whether Life of Engine, to which the connection of a request
+  // broke off, has crashed. Prompt holds the request's shared parts if it may
+  // be the cause, else nothing.
+  void checkCrash(const Upstream &Engine, const InstanceLife &Life,
+                  std::vector<PromptPart> Prompt);
   void noteEngineCrash(const InstanceLife &Life, const EngineCrash &Crash);
 
   FlowShared Shared;
--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -61,9 +61,9 @@
   // whether to close them.
   bool CloseExpired = false;
   bool AnswerHasNoBody = false; // the request's method is HEAD
-  // The id by which the answer is attributed, if it is: the request gets a
+  // Id that the answer repeats; unset if answers carry none. The request gets a
   // connection that has not carried this id before, and a new one if the id is
-  // empty. A copy of an earlier answer with the same id may arrive at any time
+  // empty: a copy of an earlier answer with the same id may arrive at any time
   // on the connection that the earlier request used.
   std::optional<std::string> RequestId;
   // Bounds the body of an answer that ExchangePool::call collects. Values of
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -259,4 +259,14 @@
   Failure = ReadError::Malformed;
 }
 
+bool mayHoldEvents(const HttpResponse &Head) {
+  const std::string *Type = findHeader(Head.Headers, "content-type");
+  return Head.Status == 200 &&
+         (!Type || Type->starts_with("text/event-stream"));
+}
+
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace samphirehill::serving
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -28,19 +28,6 @@
 // Other entries serve while this one stops.
 constexpr Duration StoppingRetryDelay{};
 
-// Returns whether the body of an answer may be an event stream.
-bool mayHoldEvents(const HttpResponse &Head) {
-  const std::string *Type = findHeader(Head.Headers, "content-type");
-  return Head.Status == 200 &&
-         (!Type || Type->starts_with("text/event-stream"));
-}
-
-// Returns whether callers take Status for a promise that their request was not
-// run.
-bool promisesNotRun(int Status) {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
-
 // Returns the ids of Parts as they are logged.
 std::string toString(const std::vector<PromptPart> &Parts) {
   return fmt::format("{:x}", fmt::join(Parts, ","));
@@ -761,9 +748,7 @@
     bool Suspect = Ran && !Survived && !Facts.SharedParts.empty();
     if (Suspect)
       SuspectedOf = CurrentLife;
-    Upstream Sent = Found->second.Info;
-    Sent.BornMilliseconds = CurrentLife.BornMilliseconds;
-    Owner.checkCrash(Sent,
+    Owner.checkCrash(Found->second.Info, CurrentLife,
                      Suspect ? Facts.SharedParts : std::vector<PromptPart>());
   }
 
--- a/lib/Serving/RequestFlowCrashes.cpp
+++ b/lib/Serving/RequestFlowCrashes.cpp
@@ -6,9 +6,8 @@
 
 namespace samphirehill::serving {
 
-void RequestFlows::checkCrash(const Upstream &Engine,
+void RequestFlows::checkCrash(const Upstream &Engine, const InstanceLife &Life,
                               std::vector<PromptPart> Prompt) {
-  InstanceLife Life = lifeOf(Engine);
   EngineCrash Seen{crashId(Life), Engine.Domain, Shared.Timers.now(), {}};
   if (!Prompt.empty())
     Seen.Prompts.push_back(std::move(Prompt));
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -114,16 +114,11 @@
            Now - IdleSince < std::min(MaxIdle, PeerIdleTimeout);
   }
 
-  // Returns whether an answer could be attributed to a request with NewOptions:
-  // an answer to an earlier request with the same id, or to one without an id,
-  // may still arrive on this connection.
-  bool mayCarry(const ExchangeOptions &NewOptions) const {
-    if (!NewOptions.RequestId)
-      return true;
-    std::uint64_t Id = hashBytes(*NewOptions.RequestId);
-    return !NewOptions.RequestId->empty() &&
-           std::find(CarriedIds.begin(), CarriedIds.end(), Id) ==
-               CarriedIds.end();
+  // Returns whether the connection has carried a request whose id has this
+  // hash.
+  bool hasCarried(std::uint64_t Id) const {
+    return std::find(CarriedIds.begin(), CarriedIds.end(), Id) !=
+           CarriedIds.end();
   }
 
   bool sent() const { return SentAny; }
@@ -411,11 +406,17 @@
       closeIdle(Address);
     return nullptr;
   }
-  auto Newest =
-      std::find_if(IdleConnections.rbegin(), IdleConnections.rend(),
-                   [&](const auto &Each) { return Each->mayCarry(Options); });
-  if (Newest == IdleConnections.rend() ||
-      !(*Newest)->isUsable(Now, Options.MaxIdle))
+  if (Options.RequestId && Options.RequestId->empty())
+    return nullptr;
+  std::optional<std::uint64_t> Id;
+  if (Options.RequestId)
+    Id = hashBytes(*Options.RequestId);
+  auto Newest = std::find_if(IdleConnections.rbegin(), IdleConnections.rend(),
+                             [&](const auto &Each) {
+                               return Each->isUsable(Now, Options.MaxIdle) &&
+                                      !(Id && Each->hasCarried(*Id));
+                             });
+  if (Newest == IdleConnections.rend())
     return nullptr;
   std::shared_ptr<PooledConnection> Taken = std::move(*Newest);
   IdleConnections.erase(std::next(Newest).base());
