Test limits of instances across entries, in retries and at their end

PeerTableTest: through relays, all of 90 entries learn a limit, only the newest one and its end, while others go on telling an older one. ServingEntryTest: an entry keeps to a limit that it knows from a datagram only; control answers without the limit don't end it. RequestFlowTest: retries and continued streams spend a token, and a request that may have run is not refused with 503.

--- a/test/Serving/PeerTableTest.cpp
+++ b/test/Serving/PeerTableTest.cpp
@@ -15,6 +15,7 @@
 const UpstreamKey Group{InstanceId("i-1"), 1};
 const ServiceModel Requested{ServiceId("pool"), "large"};
 const ClaimKey Claim{1, OrganisationId("o-1")};
+const InstanceLife Limited{InstanceId("i-2"), 5};
 
 // Entries whose messages arrive without delay. Each runs one request at Group.
 class PeerSimulation {
@@ -51,6 +52,7 @@
         Own.Work[{Table.Zone, Requested.Service, Requested.Model}] = 3.0;
         Own.ClaimedPlaces[Requested][Claim] = {1, 2, 0.5};
         Own.ListRevision = 1;
+        Own.Limits = limitNews(Stated[Name]);
         if (Denying.contains(Name))
           Own.Denials[Group.Instance] = 1;
         for (const PlannedMessage &Each : planMessages(Table, Own, Now))
@@ -65,7 +67,11 @@
       if (Stopped.contains(To) ||
           CutLinks.contains({Tables.at(From).Zone, Tables.at(To).Zone}))
         continue;
-      applyMessage(Tables.at(To), Planned.Message, {}, Now);
+      for (const EntryReport &Each :
+           applyMessage(Tables.at(To), Planned.Message, {}, Now)) {
+        for (const LimitNews &News : Each.Limits)
+          noteStatement(Stated[To], News, To, Now);
+      }
     }
   }
 
@@ -81,6 +87,19 @@
     return Work.contains(Requested) ? Work.at(Requested)[Claim] : ClaimedWork{};
   }
 
+  // Has an answer to the entry At state that its instance takes PerSecond.
+  void stateLimit(const EntryId &At, std::optional<double> PerSecond) {
+    noteOwnStatement(Stated[At], {Limited, PerSecond, Now}, At, Now);
+  }
+
+  // Returns how many entries know that the limit is PerSecond.
+  std::size_t entriesThatKnow(std::optional<double> PerSecond) {
+    std::size_t Count = 0;
+    for (const auto &[Entry, Table] : Tables)
+      Count += statedLimit(Stated[Entry], Limited) == PerSecond;
+    return Count;
+  }
+
   // Stops the entries that send the most messages: the relays.
   void stopBusiest(int Count) {
     for (int Done = 0; Done < Count; ++Done) {
@@ -95,6 +114,7 @@
   }
 
   std::map<EntryId, PeerTable> Tables;
+  std::map<EntryId, StatedLimits> Stated;
   std::map<EntryId, int> Messages;
   std::set<EntryId> Stopped;
   std::set<EntryId> Denying; // report that they can't reach Group's instance
@@ -279,6 +299,52 @@
   }
 }
 
+// An entry of another zone is three messages away where relays are used.
+TEST(PeerTableTest, TellsAllEntriesTheLimitOfAnInstance) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(6);
+    Simulation.stateLimit(EntryId("z0-1"), 3.5);
+    Simulation.run(4);
+    EXPECT_EQ(Simulation.entriesThatKnow(3.5), Simulation.Tables.size());
+  }
+}
+
+TEST(PeerTableTest, TellsAllEntriesTheNewestLimitOnly) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(6);
+    Simulation.stateLimit(EntryId("z0-1"), 4);
+    Simulation.run(1); // the first statement is still under way
+    Simulation.stateLimit(EntryId("z2-2"), 2);
+    for (int Period = 0; Period < 20; ++Period) {
+      Simulation.run(1);
+      if (Period >= 3)
+        ASSERT_EQ(Simulation.entriesThatKnow(2), Simulation.Tables.size());
+    }
+  }
+}
+
+// The entries that have not seen the end themselves go on telling the limit.
+TEST(PeerTableTest, TellsAllEntriesThatALimitHasEnded) {
+  for (int EntriesPerZone : {3, 30}) {
+    PeerSimulation Simulation(3, EntriesPerZone);
+    Simulation.run(6);
+    for (const auto &[Entry, Table] : Simulation.Tables) {
+      if (Table.Zone == ZoneId("z0"))
+        Simulation.stateLimit(Entry, 4);
+    }
+    Simulation.run(6);
+    Simulation.stateLimit(EntryId("z1-2"), std::nullopt);
+    Simulation.run(4);
+    for (int Period = 0; Period < 20; ++Period) {
+      ASSERT_EQ(Simulation.entriesThatKnow(std::nullopt),
+                Simulation.Tables.size());
+      Simulation.run(1);
+    }
+  }
+}
+
 // The load that an entry sees never exceeds the load that runs, whichever
 // entries stop and come back.
 RC_GTEST_PROP(PeerTableTest, NeverCountsLoadTwice, ()) {
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -97,6 +97,17 @@
     return *Engines.back();
   }
 
+  // Has the engine at Index limit requests to PerSecond, with Tokens left.
+  void limitEngine(std::size_t Index, double PerSecond, double Tokens) {
+    InstanceLife Life = lifeOf(Usable.at(Index));
+    noteStatement(Book.Stated, {Life, PerSecond, Timers.now()},
+                  Book.Limits.Self, Timers.now());
+    RateShare &Share = Book.Stated.ByLife.at(Life).Tokens;
+    Share = startedShare(0, Timers.now());
+    updateLimitShares(Book, {}, Metrics, Timers.now());
+    Share.Generated = Tokens;
+  }
+
   // Adds Count engines that crash when they run a request.
   void addCrashingEngines(int Count) {
     for (int Added = 0; Added < Count; ++Added) {
@@ -409,6 +420,52 @@
   EXPECT_GT(toMilliseconds(Timers.now() - Start), 490);
 }
 
+// A retry and a continued stream reach the instance like other requests.
+TEST_F(RequestFlowTest, CountsRetriesAgainstTheLimitOfAnEngine) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) { To.reset(); });
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s\r\nlimit: 0.3", "B"));
+  });
+  limitEngine(1, 0.3, 1);
+  send("/safe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nB"));
+  EXPECT_TRUE(isHeldBack(Book, Usable[1], Timers.now()));
+}
+
+TEST_F(RequestFlowTest, CountsContinuedStreamsAgainstTheLimitOfAnEngine) {
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: one\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+    To.send(serializeChunk("id: 1\ndata: a\n\n"));
+    To.reset();
+  });
+  addEngine(PoolService, [](ScriptedConnection &To, int) {
+    To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: two\r\nlimit: 0.3\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+    To.send(serializeChunk("id: 2\ndata: b\n\n") + std::string(LastChunk));
+  });
+  limitEngine(1, 0.3, 1);
+  send("/stream/");
+  ASSERT_TRUE(awaitAnswer("0\r\n\r\n"));
+  EXPECT_TRUE(isHeldBack(Book, Usable[1], Timers.now()));
+}
+
+// A refusal with 503 states that the request has not run.
+TEST_F(RequestFlowTest, RefusesNoRequestAsLimitedThatMayHaveRun) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) { To.reset(); });
+  ScriptedServer &Limited =
+      addEngine(PlainService, [](ScriptedConnection &To, int) {
+        To.send(answer("200 OK\r\nid: r1\r\nseal: s\r\nlimit: 0.3", "B"));
+      });
+  limitEngine(1, 0.3, 0);
+  Routes[0].Timeout = milliseconds(600);
+  Routes[0].Objective = milliseconds(200);
+  send("/safe/");
+  ASSERT_TRUE(awaitAnswer("HTTP/1.1 50"));
+  EXPECT_EQ(Received.find("HTTP/1.1 503"), std::string::npos) << Received;
+  EXPECT_EQ(Limited.requests(), 0);
+}
+
 // Power is back and all entries are new processes: callers reach them some
 // milliseconds before they have read the configuration.
 TEST_F(RequestFlowTest, HoldsRequestUntilTheFirstConfiguration) {
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -52,8 +52,9 @@
   }
 
   // Calls to instances that never complete.
-  static InstanceCalls silentCalls() {
+  InstanceCalls silentCalls() const {
     InstanceCalls Calls;
+    Calls.OnAnswer = OnControlAnswer;
     Calls.Order = [](const Instance &, const GroupOrder &, auto, auto) {};
     Calls.Report = [](const Instance &, auto) {};
     return Calls;
@@ -171,12 +172,46 @@
   TimerService Timers;
   ExchangePool Pool;
   ServingMetrics Metrics;
+  AnswerCallback OnControlAnswer = std::make_shared<
+      std::function<void(const InstanceLife &, const AnswerFacts &)>>();
   ServingSettings Settings;
   std::unique_ptr<ServingEntry> Entry;
   std::vector<std::unique_ptr<ScriptedServer>> Engines;
   std::int64_t Revision = 0;
 };
 
+// An instance in the entry's zone that answers "near", and one in another zone
+// that answers "far". Another entry reports the limits of the first.
+class ServingEntryLimitTest : public ServingEntryTest {
+protected:
+  ServingEntryLimitTest()
+      : Socket(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    Near = plainInstance("i1", "north", [](ScriptedConnection &To, int) {
+      To.send(answer("200 OK\r\nid: r1\r\nseal: s", "near"));
+    });
+    plainInstance("i2", "south", [](ScriptedConnection &To, int) {
+      To.send(answer("200 OK\r\nid: r1\r\nseal: s", "far"));
+    });
+    Other.Entry = EntryId("edge-2");
+    Other.Zone = ZoneId("north");
+    Other.Life = 1;
+    runFor(milliseconds(20));
+  }
+
+  InstanceLife life() const { return {Near.Id, Near.BornMilliseconds}; }
+
+  void report(std::optional<double> PerSecond) {
+    ++Other.Sequence;
+    Other.Limits = {{life(), PerSecond, Timers.now()}};
+    sendReport(Socket, Other);
+    runFor(milliseconds(20));
+  }
+
+  asio::ip::udp::socket Socket;
+  Instance Near;
+  EntryReport Other;
+};
+
 TEST_F(ServingEntryTest, SendsNothingToLeavingIncarnationWhenListShowsItReady) {
   Instance Leaving = plainInstance(
       "i1", "north", [](ScriptedConnection &Connection, int Number) {
@@ -203,6 +238,40 @@
   EXPECT_TRUE(succeededWith(post("/safe/"), "first"));
 }
 
+TEST_F(ServingEntryLimitTest, KeepsToTheLimitThatAnotherEntryReports) {
+  EXPECT_TRUE(succeededWith(post("/safe/"), "near"));
+  report(0.01);
+  for (int Sent = 0; Sent < 4; ++Sent)
+    EXPECT_TRUE(succeededWith(post("/safe/"), "far"));
+  EXPECT_EQ(Engines[0]->requests(), 1);
+  report(std::nullopt);
+  EXPECT_TRUE(succeededWith(post("/safe/"), "near"));
+}
+
+TEST_F(ServingEntryLimitTest, KeepsLimitWhenControlAnswersDoNotStateIt) {
+  report(0.01);
+  (*OnControlAnswer)(life(), AnswerFacts{});
+  EXPECT_TRUE(succeededWith(post("/safe/"), "far"));
+  EXPECT_EQ(Engines[0]->requests(), 0);
+}
+
+TEST_F(ServingEntryLimitTest, TellsOtherEntriesTheLimitInAControlAnswer) {
+  report(std::nullopt);
+  AnswerFacts Answer;
+  Answer.Limit = 2.5;
+  (*OnControlAnswer)(life(), Answer);
+  auto IsTold = [&] {
+    std::optional<EntryMessage> Heard = receiveMessage(Socket);
+    return Heard && !Heard->Own.Limits.empty() &&
+           Heard->Own.Limits[0].Of == life() &&
+           Heard->Own.Limits[0].PerSecond == 2.5;
+  };
+  bool Told = false;
+  for (int Message = 0; Message < 5 && !Told; ++Message)
+    Told = IsTold();
+  EXPECT_TRUE(Told);
+}
+
 // Incident SHORT: a group went out of service as soon as one member's object
 // was missing from the list.
 TEST_F(ServingEntryTest, UsesActiveGroupForPartOfDrainTimeWhenMemberLapses) {
