Ignore limits from other entries that are no numbers

What operators would see: a report with such a value ended an instance's limit at all entries until the next answer that states it. It was taken for a statement that there is no limit. It is now passed over; finite values are bounded as before, which had no test.

--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -177,12 +177,17 @@
   Encoded.set_age_ms(ageOf(News.StatedAt, Now));
 }
 
-LimitNews decode(const wire::StatedLimit &Encoded, TimePoint Now) {
+// Returns nothing if the limit is no number: that doesn't end a limit.
+std::optional<LimitNews> decode(const wire::StatedLimit &Encoded,
+                                TimePoint Now) {
   LimitNews News{{InstanceId(Encoded.instance()), Encoded.born_ms()},
                  {},
                  Now - milliseconds(Encoded.age_ms())};
-  if (Encoded.has_per_second() && std::isfinite(Encoded.per_second()))
-    News.PerSecond = std::clamp(Encoded.per_second(), 0.0, HighestStatedLimit);
+  if (!Encoded.has_per_second())
+    return News;
+  if (!std::isfinite(Encoded.per_second()))
+    return std::nullopt;
+  News.PerSecond = std::clamp(Encoded.per_second(), 0.0, HighestStatedLimit);
   return News;
 }
 
@@ -313,8 +318,10 @@
   Report.Suspects = decodeSuspects(State, Now);
   for (const wire::ZoneReach &Each : State.reach())
     Report.Reach[ZoneId(Each.zone())] = decode(Each, Now);
-  for (const wire::StatedLimit &Each : State.limits())
-    Report.Limits.push_back(decode(Each, Now));
+  for (const wire::StatedLimit &Each : State.limits()) {
+    if (std::optional<LimitNews> News = decode(Each, Now))
+      Report.Limits.push_back(*News);
+  }
   return Report;
 }
 
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <limits>
+
 namespace samphirehill::serving {
 namespace {
 
@@ -66,6 +69,37 @@
   EXPECT_FALSE(decodeMessage("", TimePoint{}));
 }
 
+// Returns Told as another entry decodes it from a message.
+LimitNews sentNews(const LimitNews &Told, TimePoint Now) {
+  EntryMessage Message{fullReport(), {}};
+  Message.Own.Limits = {Told};
+  auto Decoded = decodeMessage(encodeMessage(Message, Now), Now);
+  EXPECT_TRUE(Decoded && Decoded->Own.Limits.size() == 1);
+  return Decoded && !Decoded->Own.Limits.empty() ? Decoded->Own.Limits[0]
+                                                 : LimitNews{};
+}
+
+TEST(EntryReportTest, BoundsLimitsFromTheWire) {
+  TimePoint Now{seconds(10)};
+  const InstanceLife Of{InstanceId("i-8"), 80};
+  for (double Told : {-1.0, -1e300, -std::numeric_limits<double>::min()})
+    EXPECT_EQ(sentNews({Of, Told, Now}, Now).PerSecond, 0.0) << Told;
+  EXPECT_EQ(sentNews({Of, 1e300, Now}, Now).PerSecond, HighestStatedLimit);
+}
+
+TEST(EntryReportTest, IgnoresLimitsThatAreNoNumbers) {
+  TimePoint Now{seconds(10)};
+  const InstanceLife Of{InstanceId("i-8"), 80};
+  double Infinite = std::numeric_limits<double>::infinity();
+  for (double Told : {std::nan(""), Infinite, -Infinite}) {
+    EntryMessage Message{fullReport(), {}};
+    Message.Own.Limits = {{Of, Told, Now}};
+    auto Decoded = decodeMessage(encodeMessage(Message, Now), Now);
+    ASSERT_TRUE(Decoded);
+    EXPECT_EQ(Decoded->Own.Limits, std::vector<LimitNews>{}) << Told;
+  }
+}
+
 TEST(EntryReportTest, SumsLoadsAndKeepsNewestDutyTerm) {
   EntryReport Sum = fullReport();
   Sum.Included.clear();
