Report ages above 49 days as such

Ages are sent as 32 bits of milliseconds and wrapped around: the statement of a limit that was 4,294,967,296 ms old or older came out as a new one and could set a limit again that has ended. KeepsOrderOfVeryOldStatements failed before: a statement 5 s older than the longest age arrived with an age of about 5 s.

--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace samphirehill::serving {
@@ -69,8 +70,9 @@
 }
 
 std::uint32_t ageOf(TimePoint At, TimePoint Now) {
+  constexpr std::int64_t LongestAge = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(
-      std::max<std::int64_t>(toMilliseconds(Now - At), 0));
+      std::clamp<std::int64_t>(toMilliseconds(Now - At), 0, LongestAge));
 }
 
 void encode(const SuspectReport &Report, TimePoint Now,
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -100,6 +100,18 @@
   }
 }
 
+TEST(EntryReportTest, KeepsOrderOfVeryOldStatements) {
+  constexpr std::uint32_t LongestAge = 0xffffffff;
+  TimePoint Now{seconds(10)};
+  LimitNews Oldest{
+      {InstanceId("i-8"), 80}, 3.0, Now - milliseconds(LongestAge)};
+  EXPECT_EQ(sentNews(Oldest, Now).StatedAt, Oldest.StatedAt);
+  // Ages beyond the range must not become young.
+  LimitNews Older = Oldest;
+  Older.StatedAt -= seconds(5);
+  EXPECT_LE(sentNews(Older, Now).StatedAt, Oldest.StatedAt);
+}
+
 TEST(EntryReportTest, SumsLoadsAndKeepsNewestDutyTerm) {
   EntryReport Sum = fullReport();
   Sum.Included.clear();
