Send each call to a plain service on a connection of its own

What callers would see: the answer to another caller's call, or 503 and `not run` for a call that ran.

Cause: a plain service need not name the call in its answer, and repeatable calls used kept connections, where such an answer is known by its position only. A copy of an earlier answer was taken for the next one. libcurl 7.88 takes bytes that came while the connection was idle for the next answer, too.

Ruled out: keeping connections to services that have named an earlier call. Once a copy was read, each later answer on that connection belongs to the request before, and libcurl closes no connection whose answer was complete. Cost: one connect for each repeatable call; calls that may not be repeated always had it.

HttpTest.TakesNoCopy... holds for requests with FreshConnection; without it, copies on the idle connection were taken.

--- a/include/samphirehill/Net/HttpClient.h
+++ b/include/samphirehill/Net/HttpClient.h
@@ -34,9 +34,10 @@
   HttpHeaders Headers;
   std::string Body;
   Duration Timeout = seconds(5); // of the whole transfer
-  // Use a connection of its own. libcurl repeats a request whose reused
-  // connection was closed before an answer, so this must be set on calls that
-  // must not be repeated.
+  // Use a connection of its own. On a kept one, an answer is known by its
+  // position only, so that a copy of an earlier answer is taken for it, and
+  // libcurl repeats a request whose connection was closed before an answer. So
+  // this must be set unless a wrong answer and a repeat do no harm.
   bool FreshConnection = false;
 };
 
--- a/lib/Daemon/PlainCall.cpp
+++ b/lib/Daemon/PlainCall.cpp
@@ -94,7 +94,7 @@
   Call.Headers.emplace_back("X-Request-Id", Attempt.str());
   Call.Body = Request.Body;
   Call.Timeout = Request.Deadline - Parts.Shared.Timers.now();
-  Call.FreshConnection = !Request.Repeatable;
+  Call.FreshConnection = true;
   Parts.Shared.Counters.count(
       labelled("attempts_total", "service", Request.Of.str()));
   Parts.Shared.Http.send(
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -1,6 +1,8 @@
 #include "samphirehill/Net/HttpClient.h"
 #include "samphirehill/Net/HttpServer.h"
 
+#include "Serving/Loopback.h"
+
 #include <asio/buffer.hpp>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -255,5 +257,48 @@
   EXPECT_TRUE(Done);
 }
 
+// Guards against the copy of an answer that is taken for the next one. It
+// arrives behind the answer, while no request is sent, or after the next one.
+TEST_F(HttpTest, TakesNoCopyOfAnAnswerOnAnotherConnection) {
+  const std::vector<std::string> Answers = {
+      "HTTP/1.1 299 One\r\nContent-Length: 3\r\n\r\none",
+      "HTTP/1.1 299 One\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 299 One\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\none\r\n0\r\n\r\n"};
+  std::vector<std::unique_ptr<serving::ScriptedServer>> Servers;
+  auto Expect = [&](const std::string &First, std::size_t Behind, bool Idle) {
+    SCOPED_TRACE(First + std::to_string(Behind));
+    const std::string Rest = First.substr(Behind);
+    Servers.push_back(std::make_unique<serving::ScriptedServer>(
+        Context, [=, &Servers](serving::ScriptedConnection &To, int Number) {
+          if (Number == 1)
+            return To.send(First + First.substr(0, Behind));
+          if (!Idle)
+            Servers.back()->connections()[0]->send(Rest);
+          To.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+        }));
+    for (int Expected : {299, 200}) {
+      HttpRequest Request;
+      Request.Url =
+          "http://127.0.0.1:" + std::to_string(Servers.back()->port()) + "/";
+      Request.FreshConnection = true;
+      bool Done = false;
+      Client.send(Request, [&](Outcome<HttpResponse> Value) {
+        Done = true;
+        ASSERT_EQ(errorOf(Value), nullptr);
+        EXPECT_EQ(std::get<0>(Value).Status, Expected);
+      });
+      runUntil(Done);
+      ASSERT_TRUE(Done);
+      if (Idle && Expected == 299)
+        Servers.back()->connections()[0]->send(Rest);
+    }
+  };
+  for (const std::string &First : Answers)
+    for (std::size_t Behind : {std::size_t(0), First.size() / 2, First.size()})
+      for (bool Idle : {true, false})
+        Expect(First, Behind, Idle);
+}
+
 } // namespace
 } // namespace samphirehill
