Send each attempt to an engine once

What callers would see: `not run` for a request that an engine runs or that crashed it, and streams that break one after the other at one engine.

Cause: libcurl sends a request again, under the same id, if a kept connection is closed before an answer. An engine's refusal of the second send names the attempt and was believed for both; only `duplicate-request-id` was known. And after an answer too many, each answer on that kept connection belonged to the request before.

The attempt now has a connection of its own, on which libcurl repeats nothing. Ruled out: counting the sends (CURLOPT_PREREQFUNCTION) and taking a refusal of the second one for a lost answer.

UpstreamCopiesTest.SaysMayHaveRunWhenOnlyTheSecondSendIsRefused failed before for service and engine (1019 instead of 2001); one id was sent twice.

--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -165,6 +165,7 @@
   Call.Headers = {{"Content-Type", "application/json"}};
   Call.Body = requestBody();
   Call.Timeout = Request.Deadline - SentAt;
+  Call.FreshConnection = true;
   HttpStreamCallbacks Callbacks;
   auto Self = shared_from_this();
   Callbacks.OnHeaders = [Self](const HttpResponse &Response) {
@@ -238,8 +239,6 @@
   Error Cause{ResultCode::UpstreamRefused, "upstream " +
                                                Current->Upstream.str() +
                                                " refused: " + Read.Reason};
-  // libcurl may have sent the request twice over a connection that broke; the
-  // first one then runs.
   bool Duplicate = Read.Reason == "duplicate-request-id";
   if (Duplicate || !Read.OfAttempt)
     MayHaveRun = true;
--- a/test/Daemon/UpstreamCopiesTest.cpp
+++ b/test/Daemon/UpstreamCopiesTest.cpp
@@ -150,5 +150,35 @@
   EXPECT_EQ(Attempts.size(), 2u);
 }
 
+// Guards against `not run` for a call that was sent twice under one id, as its
+// connection was closed before an answer: only the second send is refused.
+TEST_F(UpstreamCopiesTest, SaysMayHaveRunWhenOnlyTheSecondSendIsRefused) {
+  for (bool Model : {false, true}) {
+    SCOPED_TRACE(Model ? "engine" : "service");
+    Attempts.clear();
+    Script = [&](ScriptedConnection &To, int Number) {
+      const std::string &Id = Attempts.back();
+      if (Number == 1)
+        return To.send(Model ? stream(Id) : answer("200 OK", "x", echo(Id)));
+      if (Number == 2)
+        return To.close();
+      if (Model)
+        return To.send(refusal("503 Full", "overloaded", Id));
+      To.send(answer("503 Full", R"({"run":"not run"})", echo(Id)));
+    };
+    auto Code = [&] {
+      if (Model)
+        return complete()->code();
+      PlainResult Result = get();
+      const auto *No = std::get_if<PlainFailure>(&Result);
+      return No ? static_cast<int>(No->Failure.Code) : 0;
+    };
+    EXPECT_EQ(Code(), 0);
+    EXPECT_EQ(Code(), static_cast<int>(ResultCode::UpstreamLost));
+    std::set<std::string> Ids(Attempts.begin(), Attempts.end());
+    EXPECT_EQ(Ids.size(), Attempts.size());
+  }
+}
+
 } // namespace
 } // namespace samphirehill
