Take notices from refusals only if they name the attempt

What callers would see: no upstream for 600 ms, or less work at one, though it refused nothing now.

Cause: `overloaded` halved the upstream's limit, and `group` and `boot-id` held it off, also if the refusal named another attempt. Class: evidence is used before it is known whose it is.

UpstreamCopiesTest.TakesNoNoticeFromARefusalOfAnotherAttempt failed before, also with a connection for each attempt: the request ended with 2001 and the upstream was held off.

--- a/lib/Daemon/ModelCall.cpp
+++ b/lib/Daemon/ModelCall.cpp
@@ -242,9 +242,10 @@
   bool Duplicate = Read.Reason == "duplicate-request-id";
   if (Duplicate || !Read.OfAttempt)
     MayHaveRun = true;
-  if (Response.Status == 503)
+  if (Read.OfAttempt && Response.Status == 503)
     Parts.Credits.recordOverload(Current->Upstream);
-  if (Read.Reason == "group" || Read.Reason == "boot-id")
+  bool Changed = Read.Reason == "group" || Read.Reason == "boot-id";
+  if (Read.OfAttempt && Changed)
     Parts.Directory.holdOff(Current->Upstream,
                             Parts.Shared.Timers.now() + HoldOff);
   Excluded.insert(Current->Upstream);
--- a/test/Daemon/UpstreamCopiesTest.cpp
+++ b/test/Daemon/UpstreamCopiesTest.cpp
@@ -180,5 +180,17 @@
   }
 }
 
+// Guards against what an engine stated earlier and is not true now.
+TEST_F(UpstreamCopiesTest, TakesNoNoticeFromARefusalOfAnotherAttempt) {
+  Script = [&](ScriptedConnection &To, int Number) {
+    if (Number == 2)
+      To.send(refusal("409 No", "group", Attempts[0]));
+    To.send(stream(Attempts.back()));
+  };
+  EXPECT_EQ(complete()->code(), 0);
+  EXPECT_EQ(complete()->code(), 0);
+  EXPECT_EQ(process().Directory.find(Name)->HeldOffUntil, TimePoint());
+}
+
 } // namespace
 } // namespace samphirehill
