Ask upstreams for their status on connections of their own

What operators would see: more work at an engine than its limit, which may crash a cold one.

Cause: the answer to /status names no request. On a kept connection the copy of an earlier one was taken for the answer: a call that had started since was missing in `runningIds`, so that its credit was given back while it ran. That holds for the probes of a home and for calls that were broken off.

Ruled out: `reportTimeMs` as an order. It is the time of a sample, and services may leave it out. Cost: one connect for each probe, as on the platform's path.

UpstreamCopiesTest.KeepsCreditWhenAnEarlierStatusIsCopied failed before: the credit was free after the first status. The probes use the same function; no test runs the ProbeController with a copy.

--- a/include/samphirehill/Daemon/UpstreamCalls.h
+++ b/include/samphirehill/Daemon/UpstreamCalls.h
@@ -7,13 +7,20 @@
 #include "samphirehill/Daemon/CrashController.h"
 #include "samphirehill/Daemon/Dispatcher.h"
 #include "samphirehill/Daemon/Runtime.h"
+#include "samphirehill/Net/HttpClient.h"
 
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace samphirehill {
 
+// Returns a request for the status of the upstream at Address. The answer names
+// no request, so that it gets a connection of its own: on a kept one, a copy of
+// an earlier status would free the credits of calls that have started since.
+HttpRequest statusRequest(const std::string &Address, Duration Timeout);
+
 class UpstreamCalls {
 public:
   UpstreamCalls(Runtime &Shared, Dispatcher &Dispatch,
--- a/lib/Daemon/ProbeController.cpp
+++ b/lib/Daemon/ProbeController.cpp
@@ -1,6 +1,7 @@
 #include "samphirehill/Daemon/ProbeController.h"
 
 #include "ReportMessages.h"
+#include "samphirehill/Daemon/UpstreamCalls.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -104,12 +105,9 @@
 void ProbeController::probe(const Instance &Target) {
   if (!InFlight.insert(Target.Name).second)
     return;
-  HttpRequest Request;
-  Request.Url = "http://" + Target.Address + "/status";
-  Request.Timeout = ProbeTimeout;
   TimePoint AskedAt = Shared.Timers.now();
   Shared.Counters.count("probes_total");
-  Shared.Http.send(std::move(Request),
+  Shared.Http.send(statusRequest(Target.Address, ProbeTimeout),
                    [this, Target, AskedAt](const Outcome<HttpResponse> &Value) {
                      InFlight.erase(Target.Name);
                      receiveStatus(Target, AskedAt, Value);
--- a/lib/Daemon/UpstreamCalls.cpp
+++ b/lib/Daemon/UpstreamCalls.cpp
@@ -38,6 +38,14 @@
 
 } // namespace
 
+HttpRequest statusRequest(const std::string &Address, Duration Timeout) {
+  HttpRequest Request;
+  Request.Url = "http://" + Address + "/status";
+  Request.Timeout = Timeout;
+  Request.FreshConnection = true;
+  return Request;
+}
+
 void UpstreamCalls::judgeBreak(const Grant &Broken,
                                std::function<void(bool Crashed)> Then) {
   CrashId Where{Broken.Upstream, Broken.Held.Boot};
@@ -46,11 +54,7 @@
   if (Waiting.size() > 1)
     return;
   Directory.setDoubtful(Broken.Upstream, true);
-  HttpRequest Request;
-  Request.Url = "http://" + Broken.Address + "/status";
-  Request.Timeout = CallTimeout;
-  Request.FreshConnection = true;
-  Shared.Http.send(std::move(Request),
+  Shared.Http.send(statusRequest(Broken.Address, CallTimeout),
                    [this, Where, Broken](Outcome<HttpResponse> Value) {
                      judged(Where, Broken, showsCrash(Value, Where.Boot));
                    });
@@ -101,9 +105,8 @@
     release(Attempt);
     return;
   }
-  HttpRequest Request;
-  Request.Url = "http://" + Found->second.Broken.Address + "/status";
-  Request.Timeout = CallTimeout;
+  HttpRequest Request =
+      statusRequest(Found->second.Broken.Address, CallTimeout);
   BootId Boot = Found->second.Broken.Held.Boot;
   Shared.Http.send(std::move(Request), [this, Attempt,
                                         Boot](Outcome<HttpResponse> Value) {
--- a/test/Daemon/UpstreamCopiesTest.cpp
+++ b/test/Daemon/UpstreamCopiesTest.cpp
@@ -192,5 +192,37 @@
   EXPECT_EQ(process().Directory.find(Name)->HeldOffUntil, TimePoint());
 }
 
+// Guards against a credit that is given back while its call runs: the copy of
+// an earlier status does not have the call yet.
+TEST_F(UpstreamCopiesTest, KeepsCreditWhenAnEarlierStatusIsCopied) {
+  const std::string Earlier = answer("200 OK", Status.dump());
+  int Asked = 0;
+  bool Running = true;
+  Controls = [&](ScriptedConnection &To) {
+    if (Upstream->Heads.back().starts_with("POST"))
+      return To.send(answer("200 OK", R"({"cancelled":true})"));
+    ++Asked;
+    Upstream->connections()[0]->send(Earlier);
+    Status["runningIds"] = Running ? Json::array({"r"}) : Json::array();
+    if (Asked > 1)
+      To.send(answer("200 OK", Status.dump()));
+  };
+  bool Seen = false;
+  process().Shared.Http.send(
+      statusRequest(process().Directory.find(Name)->Status.Address, seconds(1)),
+      [&](const auto &) { Seen = true; });
+  runUntil([&] { return Seen; });
+  Grant Held;
+  Held.Upstream = Name;
+  Held.Address = process().Directory.find(Name)->Status.Address;
+  Held.Held.Boot = Boot;
+  process().Calls.abandon(Held, RequestId("r"),
+                          process().Shared.Timers.now() + seconds(30));
+  runUntil([&] { return Asked == 4; });
+  EXPECT_EQ(process().Calls.count(), 1u);
+  Running = false;
+  runUntil([&] { return process().Calls.count() == 0; });
+}
+
 } // namespace
 } // namespace samphirehill
