Call the platform on connections of their own

What operators would see: an object that exists is reported as missing, or an older list is taken for the present one.

Cause: answers of the platform name no call, and reads used kept connections, where a copy of an earlier answer was taken for the next one. Writes always had a connection of their own.

PlatformTest.TakesNoCopyOfAnAnswerForTheNextRead failed before with 404.

--- a/lib/Net/Platform.cpp
+++ b/lib/Net/Platform.cpp
@@ -244,6 +244,11 @@
     Request.Method = Method;
     Request.Url = "http://" + Options.Address + Path;
     Request.Timeout = Options.Timeout;
+    // An answer names no call, so that a late copy of an earlier one would be
+    // taken for it. Moreover, libcurl repeats requests on a reused connection:
+    // a repeat of a write that took effect would be answered with a conflict,
+    // which would be taken for another writer's success.
+    Request.FreshConnection = true;
     return Request;
   }
 
@@ -266,9 +271,6 @@
     Request.Headers = {{"If-Match", std::to_string(Expected)},
                        {"Content-Type", "application/json"}};
     Request.Body = std::move(Body);
-    // A repeat of a write that took effect would be answered with a conflict,
-    // which would be taken for another writer's success.
-    Request.FreshConnection = true;
     return Client.send(std::move(Request),
                        [Call = Method + " " + Path, OnDone = std::move(OnDone)](
                            const Outcome<HttpResponse> &Answer) {
--- a/test/Net/PlatformTest.cpp
+++ b/test/Net/PlatformTest.cpp
@@ -1,5 +1,6 @@
 #include "samphirehill/Net/Platform.h"
 
+#include "Serving/Loopback.h"
 #include "Standins/StandinFixture.h"
 #include "standin-platform/Platform.h"
 
@@ -339,5 +340,29 @@
   RC_ASSERT(std::get<0>(read()).Value == std::to_string(Done));
 }
 
+// Guards against the copy of an answer that is taken for the next one: answers
+// of the platform name no call.
+TEST_F(PlatformTest, TakesNoCopyOfAnAnswerForTheNextRead) {
+  const auto Answer = [](int Status, const std::string &Body) {
+    return "HTTP/1.1 " + std::to_string(Status) +
+           " X\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+           Body;
+  };
+  const std::string Gone = Answer(404, "{}");
+  const std::string Held = Answer(
+      200, R"({"kind":"placement","name":"mu-1","version":3,"value":{}})");
+  std::unique_ptr<serving::ScriptedServer> Scripted;
+  Scripted = std::make_unique<serving::ScriptedServer>(
+      Io, [&](serving::ScriptedConnection &To, int Number) {
+        if (Number == 1)
+          return To.send(Gone);
+        Scripted->connections()[0]->send(Gone);
+        To.send(Held);
+      });
+  connect("127.0.0.1:" + std::to_string(Scripted->port()));
+  EXPECT_EQ(code(read()), ResultCode::NotFound);
+  EXPECT_EQ(code(read()), ResultCode::Ok);
+}
+
 } // namespace
 } // namespace samphirehill
