--- a/test/Platform/StoreTest.cpp
+++ b/test/Platform/StoreTest.cpp
@@ -325,5 +325,33 @@
   EXPECT_NE(Server.Heads[1].find("\"revision\":7"), std::string::npos);
 }
 
+// Guards against a write that seems to be done, or refused, as an earlier one
+// was: answers of the store name no call.
+TEST_F(StoreTest, TakesNoCopyOfAnAnswerForThatOfTheNextWrite) {
+  for (bool FirstIsDone : {true, false}) {
+    const std::string Done = reply(200, object("a", 8, 1));
+    const std::string Refused = reply(409, {});
+    const std::string First = FirstIsDone ? Done : Refused;
+    std::unique_ptr<ScriptedServer> Server;
+    Server = std::make_unique<ScriptedServer>(
+        Context, [&](ScriptedConnection &To, int Number) {
+          if (Number == 1)
+            return To.send(First);
+          Server->connections()[0]->send(First);
+          To.send(FirstIsDone ? Refused : Done);
+        });
+    serving::ObjectStore Store = objectStore(access(*Server));
+    std::vector<bool> Results;
+    for (std::size_t Call = 0; Call < 2; ++Call) {
+      Store.Write("things", {"a", 7, "1"},
+                  [&](const Outcome<serving::StoredObject> &Answer) {
+                    Results.push_back(!errorOf(Answer));
+                  });
+      ASSERT_TRUE(runUntil(Context, [&] { return Results.size() > Call; }));
+    }
+    EXPECT_EQ(Results, (std::vector<bool>{FirstIsDone, !FirstIsDone}));
+  }
+}
+
 } // namespace
 } // namespace samphirehill::platform
