Say in the log how large a request is and what holds it back

The log could not tell the possible causes apart: neither the size of a request nor which of the limits behind reason=full applied.

Hypotheses, written down before any change of logic: 1. Pending prompts hold back a long prompt for longer than short ones, which are sent past it (promptsDelayTooLong counts the request's own prompt). 2. Smaller requests pass a large one in the queue for ever. 3. Bytes: the body's limit, the byte budget, the head timeout. 4. The silence of a long prompt is taken for a stall; attempts are used up. 5. Engine memory: engines refuse large requests as if they were full. 6. The mean time to the first event is taken over all sizes (startBy).

event=queued and event=finished now name the reasons that held upstreams back (held=slots:1,prompts:3); event=finished has prompt, output and body; counters prompts_served and prompts_unserved count by length of the prompt. Log and metrics only, no decision changes.

--- a/include/samphirehill/Serving/Placement.h
+++ b/include/samphirehill/Serving/Placement.h
@@ -4,9 +4,11 @@
 #define SAMPHIREHILL_SERVING_PLACEMENT_H
 
 #include "samphirehill/Core/Time.h"
+#include "samphirehill/Serving/PlacementHolds.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <optional>
+#include <string>
 
 namespace samphirehill::serving {
 
@@ -42,8 +44,12 @@
   // Reason is Quiet: when the first pause ends. Unreachable: when callers reach
   // another zone.
   TimePoint RetryAt{};
+  HoldCounts Holds; // of the untried upstreams
 };
 
+// Returns why nothing was chosen, as it is logged.
+std::string describeFailure(const Placement &Failed);
+
 // Chooses an upstream that may take a request now. Without peers that is the
 // one with the best score. With peers, which choose by the same delayed
 // reports, the choice is random, with probabilities by which all entries
--- a/lib/Serving/PlaceShares.cpp
+++ b/lib/Serving/PlaceShares.cpp
@@ -65,6 +65,7 @@
     return;
   Found.Chosen.reset();
   Found.Reason = PlacementFailure::Full;
+  ++Found.Holds[HoldReason::Share];
   if (!std::exchange(Claim.HeldBack, true))
     Metrics.count("organisation_held_back", "organisation",
                   label(Shares, Claim.Key.Organisation));
--- a/lib/Serving/Placement.cpp
+++ b/lib/Serving/Placement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fmt/format.h>
 #include <limits>
 #include <vector>
 
@@ -37,26 +38,28 @@
   return quietUntil(Book.Notices, lifeOf(Info)) > Query.NowWithSuspension;
 }
 
-// Returns whether the request may be sent to the upstream now.
-bool mayTake(const UpstreamBook &Book, const UpstreamState &State,
-             const PlacementQuery &Query, TimePoint Now) {
+// Returns why the request may not be sent to the upstream now.
+HoldReason holdReason(const UpstreamBook &Book, const UpstreamState &State,
+                      const PlacementQuery &Query, TimePoint Now) {
   const Upstream &Info = State.Info;
-  if (isQuiet(Book, Info, Query) ||
-      (isLimited(Book, Info) && isHeldBack(Book, Info, Now)))
-    return false;
+  if (isQuiet(Book, Info, Query))
+    return HoldReason::Quiet;
+  if (isLimited(Book, Info) && isHeldBack(Book, Info, Now))
+    return HoldReason::Limit;
   if (State.OwnLoad.Running + State.PeerLoad.Running >=
       Info.Slots + Query.ExtraSlots)
-    return false;
+    return HoldReason::Slots;
   if (promptsDelayTooLong(State, Query, Book.Limits))
-    return false;
+    return HoldReason::Prompts;
   if (isCold(State, Query.ColdPerSecond, Now) &&
       !mayTakeWhileCold(State, Book.Limits, Query.ColdPerSecond, Now))
-    return false;
+    return HoldReason::Cold;
   if (!mayTakeAtItsPace(Book, State, Query, Now))
-    return false;
+    return HoldReason::Pace;
   // A stalled group makes no progress: the request does better at another
   // upstream, or waiting.
-  return Now >= State.AvoidUntil || State.Avoid != AvoidReason::Stalled;
+  bool Stalled = Now < State.AvoidUntil && State.Avoid == AvoidReason::Stalled;
+  return Stalled ? HoldReason::Stalled : HoldReason::None;
 }
 
 // Returns whether this entry uses its share of the slots. While peer reports
@@ -231,6 +234,11 @@
   return "unknown";
 }
 
+std::string describeFailure(const Placement &Failed) {
+  return fmt::format("reason={} held={}", toString(Failed.Reason),
+                     toString(Failed.Holds));
+}
+
 Placement place(const UpstreamBook &Book, const PlacementQuery &Query,
                 TimePoint Now) {
   Placement Result;
@@ -275,8 +283,11 @@
     Counts.UntriedQuiet += Quiet;
     Counts.Limited += !Quiet && Limited && isHeldBack(Book, Info, Now);
     Result.Reason = PlacementFailure::Full;
-    if (!mayTake(Book, State, Query, Now))
+    HoldReason Held = holdReason(Book, State, Query, Now);
+    if (Held != HoldReason::None) {
+      ++Result.Holds[Held];
       continue;
+    }
     if (Avoided && !AllAvoided)
       continue;
     if (!Avoided && AllAvoided)
@@ -290,9 +301,10 @@
   // The tokens for a limited upstream are this entry's share of it.
   if (SharesSlots && !Query.WithinShare &&
       usesItsShare(Occupied, Query, Book.Limits))
-    std::erase_if(Candidates, [&](const Candidate &Each) {
-      return !isLimited(Book, Each.State->Info);
-    });
+    Result.Holds[HoldReason::Share] =
+        static_cast<int>(std::erase_if(Candidates, [&](const Candidate &Each) {
+          return !isLimited(Book, Each.State->Info);
+        }));
   if (Candidates.empty())
     return Result;
   double Draw = keepOneZone(Candidates, Rooms, Query, Book.Limits);
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -153,8 +153,7 @@
     Placement Found = place(shared().Book, Query, now());
     if (!hasBegun())
       yieldPlace(Owner.Shares, Claim, Found, now(), shared().Metrics);
-    LastReason = Found.Reason;
-    RetryAt = Found.RetryAt;
+    Last = Found;
     if (!Found.Chosen && Query.Late) // may not take what others leave to it
       moveTo(Owner.Shares, Claim, ClaimPhase::None);
     if (!Found.Chosen)
@@ -192,11 +191,11 @@
   bool refuseIfHopeless(const RequestQueue &Ahead) {
     if (hasBegun())
       return false;
-    if (LastReason == PlacementFailure::Unreachable)
+    if (Last.Reason == PlacementFailure::Unreachable)
       giveUp(ResultCode::NoUpstream, "out_of_reach");
-    else if (LastReason == PlacementFailure::Quiet)
+    else if (Last.Reason == PlacementFailure::Quiet)
       giveUp(ResultCode::Overloaded, "all_quiet");
-    else if (LastReason == PlacementFailure::Limited && !comesInTime(Ahead))
+    else if (Last.Reason == PlacementFailure::Limited && !comesInTime(Ahead))
       giveUp(ResultCode::Overloaded, "all_limited");
     return State == FlowState::Done;
   }
@@ -205,8 +204,8 @@
     State = FlowState::Waiting;
     WaitStart = now();
     Owner.Waiting.push_back(shared_from_this());
-    spdlog::info("event=queued request={} reason={} candidates_tried={}",
-                 Facts.Id, toString(LastReason), Tried.size());
+    spdlog::info("event=queued request={} {} candidates_tried={}", Facts.Id,
+                 describeFailure(Last), Tried.size());
   }
 
   // Checks the deadline, the waiting time and the progress of the upstream.
@@ -317,14 +316,15 @@
   ServiceModel serviceModel() const { return {Shape->Id, model()}; }
 
   // Returns whether the limits of upstreams let the request be sent in time,
-  // after those of Ahead that wait for the same kind of place. Sets RetryAt.
+  // after those of Ahead that wait for the same kind of place. Sets
+  // Last.RetryAt.
   bool comesInTime(const RequestQueue &Ahead) {
     auto Count = std::count_if(Ahead.begin(), Ahead.end(), [&](const auto &A) {
       return A->State == FlowState::Waiting && A->sharesPlaces(*this);
     });
     Duration Wait = waitForLimits(shared().Book, query(), Count, now());
-    RetryAt = shared().Timers.nowWithSuspension() + Wait +
-              spreadReturn(Owner.randomFraction());
+    Last.RetryAt = shared().Timers.nowWithSuspension() + Wait +
+                   spreadReturn(Owner.randomFraction());
     return Wait <= longestWaitForTurn(Owner.Settings.Wait, startBy() - now(),
                                       Deadline - now());
   }
@@ -786,16 +786,16 @@
 
   void checkWait(TimePoint Now) {
     Duration Limit =
-        maxWait(Owner.Settings.Wait, LastReason, Deadline - WaitStart);
+        maxWait(Owner.Settings.Wait, Last.Reason, Deadline - WaitStart);
     if (Shape->Engine && !hasBegun() &&
-        missedObjectiveWhileWaiting(LastReason, WaitStart, startBy(), Now))
+        missedObjectiveWhileWaiting(Last.Reason, WaitStart, startBy(), Now))
       return giveUp(ResultCode::Overloaded, "late");
     if (Now - WaitStart < Limit)
       return;
-    giveUp(LastReason == PlacementFailure::Absent ? ResultCode::NoUpstream
-                                                  : ResultCode::Overloaded,
-           LastReason == PlacementFailure::Absent ? "no_upstream"
-                                                  : "overloaded");
+    giveUp(Last.Reason == PlacementFailure::Absent ? ResultCode::NoUpstream
+                                                   : ResultCode::Overloaded,
+           Last.Reason == PlacementFailure::Absent ? "no_upstream"
+                                                   : "overloaded");
   }
 
   void checkProgress(TimePoint Now) {
@@ -908,8 +908,8 @@
       refuse(Code == ResultCode::DeadlineExceeded ? 504 : 502, Code, Why, {});
       return;
     }
-    Duration Left = RetryAt - shared().Timers.nowWithSuspension();
-    refuse(503, Code, Why, retryAfter(LastReason, Deadline - now(), Left));
+    Duration Left = Last.RetryAt - shared().Timers.nowWithSuspension();
+    refuse(503, Code, Why, retryAfter(Last.Reason, Deadline - now(), Left));
   }
 
   // Ends a stream that has begun so that it does not look complete.
@@ -924,16 +924,17 @@
     shared().Metrics.observe("answer", now() - Caller->ReceivedAt);
     ShareLimit Limit = noteOutcome(Owner.Shares, Claim, Outcome == "served",
                                    now(), shared().Metrics);
-    auto Level =
-        Code == ResultCode::Ok ? spdlog::level::info : spdlog::level::warn;
-    spdlog::log(Level,
-                "event=finished request={} organisation={} rank={} outcome={} "
-                "limit={} sent_ms={} first_ms={} expected_ms={} after_ms={} "
-                "code={} attempts={} runs={}",
-                Facts.Id, Claim.Key.Organisation.str(), Claim.Key.Rank, Outcome,
-                toString(Limit), sinceReceived(AttemptStart),
-                sinceReceived(FirstAt), toMilliseconds(ExpectedFirst), ageMs(),
-                static_cast<int>(Code), Attempts, Runs);
+    countByPrompt(shared().Metrics, Facts, Outcome == "served");
+    spdlog::log(
+        Code == ResultCode::Ok ? spdlog::level::info : spdlog::level::warn,
+        "event=finished request={} organisation={} rank={} outcome={} "
+        "limit={} sent_ms={} first_ms={} expected_ms={} after_ms={} "
+        "code={} attempts={} runs={} prompt={} output={} body={} held={}",
+        Facts.Id, Claim.Key.Organisation.str(), Claim.Key.Rank, Outcome,
+        toString(Limit), sinceReceived(AttemptStart), sinceReceived(FirstAt),
+        toMilliseconds(ExpectedFirst), ageMs(), static_cast<int>(Code),
+        Attempts, Runs, Facts.PromptTokens, Facts.OutputTokens,
+        Caller->Request.Body.size(), toString(Last.Holds));
     endRequest();
   }
 
@@ -983,8 +984,7 @@
   bool ForwardedEvents = false;  // this attempt has completed an event
   bool RetriesExhausted = false; // the retry limit denied the last retry
   bool CallerDisconnected = false;
-  PlacementFailure LastReason = PlacementFailure::Absent;
-  TimePoint RetryAt{}; // see Placement
+  Placement Last; // result of the last search for an upstream
   HttpResponse Collected;
   AnswerFacts CollectedFacts;
   EventSplitter Splitter;
--- a/test/Serving/UpstreamBookTest.cpp
+++ b/test/Serving/UpstreamBookTest.cpp
@@ -192,6 +192,22 @@
   EXPECT_EQ(place(Book, Query, Now).Chosen, key(2));
 }
 
+TEST_F(UpstreamBookTest, SaysWhatHeldBackEachUpstream) {
+  Book.Upstreams[key(0)].OwnLoad = {26, 0};
+  Book.Upstreams[key(1)].OwnLoad = {6, 12'000};
+  avoidUpstream(Book, key(2), AvoidReason::Stalled, Now + seconds(1));
+  EXPECT_EQ(describeFailure(place(Book, Query, Now)),
+            "reason=full held=slots:1,prompts:1,stalled:1");
+  Book.Limits.ReportAge = milliseconds(400);
+  Query.DemandShare = 0.01;
+  for (auto &[Key, State] : Book.Upstreams) {
+    State.OwnLoad = {1, 0};
+    State.AvoidUntil = {};
+  }
+  EXPECT_EQ(describeFailure(place(Book, Query, Now)),
+            "reason=full held=share:3");
+}
+
 TEST_F(UpstreamBookTest, PrefersOwnZoneAtEqualLoad) {
   EXPECT_NE(place(Book, Query, Now).Chosen, key(2));
 }
