Reproduce long prompts that are left unserved under overload

The overload model takes prompts of different lengths and says which were served.

The other four tests of the model pass; with one length of prompt the model draws the same numbers as before.

--- a/bench/overload/OverloadModel.cpp
+++ b/bench/overload/OverloadModel.cpp
@@ -33,8 +33,10 @@
   std::size_t Entry = 0;
   std::size_t Group = 0;
   std::uint64_t Number = 0;
+  std::size_t Sized = 0; // index into Sizes, if its row is counted
   std::set<UpstreamKey> Tried;
-  std::int64_t Unread = 0; // prompt tokens
+  std::int64_t Prompt = 0; // tokens
+  std::int64_t Unread = 0; // of them
   int EventsLeft = 0;
   bool CameBack = false;
   bool First = false; // event has been sent
@@ -93,7 +95,7 @@
     Result.resize(Rows);
   }
 
-  std::vector<OverloadRow> run() {
+  void run() {
     std::vector<double> Weights;
     for (const Entry &Each : Entries)
       Weights.push_back(Each.Weight);
@@ -108,9 +110,11 @@
         sweep();
       noteSpread();
     }
-    return std::move(Result);
   }
 
+  std::vector<OverloadRow> Result;
+  std::vector<SizedRequest> Sizes;
+
 private:
   static constexpr TimePoint Start{seconds(100)};
 
@@ -123,6 +127,17 @@
     return Of.Row < Result.size() ? &Result[Of.Row] : nullptr;
   }
 
+  std::int64_t promptLength() {
+    if (Scene.PromptSpread <= 0)
+      return Scene.PromptTokens;
+    double Variance = std::log1p(Scene.PromptSpread * Scene.PromptSpread);
+    std::lognormal_distribution<double> Lengths(
+        std::log(static_cast<double>(Scene.PromptTokens)) - Variance / 2,
+        std::sqrt(Variance));
+    return std::clamp<std::int64_t>(std::llround(Lengths(Random)), 1,
+                                    Scene.LongestPrompt);
+  }
+
   double perSecond() const {
     double Rate = Scene.PerSecond;
     for (const Burst &Each : Scene.Bursts) {
@@ -138,12 +153,16 @@
     for (int Left = Arrivals(Random); Left > 0; --Left) {
       auto Made = std::make_shared<Request>();
       Made->AskedAt = Now;
+      Made->Prompt = promptLength();
       Duration At = Now - Start - Scene.WarmUp;
       Made->Row = At < Duration::zero()
                       ? Result.size()
                       : static_cast<std::size_t>(At / RowLength);
-      if (OverloadRow *Counted = row(*Made))
+      if (OverloadRow *Counted = row(*Made)) {
         ++Counted->Asked;
+        Made->Sized = Sizes.size();
+        Sizes.push_back({Made->Prompt, false});
+      }
       receive(Made, Pick(Random));
     }
     while (!Returning.empty() && Returning.begin()->first <= Now) {
@@ -187,7 +206,7 @@
     Query.Service = Pool;
     Query.Model = Model;
     Query.Tried = Of.Tried;
-    Query.PromptTokens = Scene.PromptTokens;
+    Query.PromptTokens = Of.Prompt;
     Query.OutputTokens = Scene.Events * Scene.Engine.EventSteps;
     Query.TimeLeft = Of.AskedAt + Scene.Deadline - Now;
     Query.Objective = Scene.Objective;
@@ -222,7 +241,7 @@
     if (OverloadRow *Counted = row(*Of))
       ++Counted->Sent;
     Of->SentAt = Now;
-    Of->Unread = Scene.PromptTokens;
+    Of->Unread = Of->Prompt;
     Of->EventsLeft = Scene.Events;
     Of->Moved = false;
     Of->Group = static_cast<std::size_t>(Chosen - Groups.begin());
@@ -293,13 +312,14 @@
   void firstEvent(Request &Of, const Group &At) {
     if (std::exchange(Of.First, true))
       return;
-    serving::noteFirstEvent(Entries[Of.Entry].Book, At.Key, Scene.PromptTokens);
+    serving::noteFirstEvent(Entries[Of.Entry].Book, At.Key, Of.Prompt);
     serving::noteFirstEvent(Entries[Of.Entry].Usual,
                             Now + Scene.FirstEventExtra - Of.SentAt);
     Duration After = Now + Scene.FirstEventExtra - Of.AskedAt;
     OverloadRow *Counted = row(Of);
     if (!Counted)
       return;
+    Sizes[Of.Sized].Served = true;
     if (After <= Scene.Objective)
       ++Counted->InAim;
     else
@@ -480,7 +500,6 @@
   std::vector<Group> Groups;
   std::deque<Told> Past;
   std::multimap<TimePoint, RequestPtr> Returning;
-  std::vector<OverloadRow> Result;
   std::uint64_t Numbers = 0;
   TimePoint Now{};
 };
@@ -528,7 +547,16 @@
 
 std::vector<OverloadRow> play(const OverloadScene &Scene,
                               const OverloadRules &Rules) {
-  return Play(Scene, Rules).run();
+  Play Played(Scene, Rules);
+  Played.run();
+  return std::move(Played.Result);
+}
+
+std::vector<SizedRequest> playSizes(const OverloadScene &Scene,
+                                    const OverloadRules &Rules) {
+  Play Played(Scene, Rules);
+  Played.run();
+  return std::move(Played.Sizes);
 }
 
 } // namespace samphirehill::bench
--- a/bench/overload/OverloadModel.h
+++ b/bench/overload/OverloadModel.h
@@ -37,7 +37,9 @@
   double Pace = 0.6;
   int EngineQueue = 50; // requests that a full group still takes
   Duration FirstEventExtra = milliseconds(120); // beyond reading and writing
-  std::int64_t PromptTokens = 714;
+  std::int64_t PromptTokens = 714;              // mean, if they differ
+  double PromptSpread = 0; // standard deviation over mean, of a lognormal
+  std::int64_t LongestPrompt = 0; // longer ones are cut to this
   int Events = 27;
   Duration Objective = milliseconds(300); // to the first event
   Duration Deadline = seconds(6);
@@ -74,6 +76,15 @@
 // loads within one age of the news: those in which the collapse was seen.
 OverloadRules rulesWithoutShares();
 
+struct SizedRequest {
+  std::int64_t PromptTokens = 0;
+  bool Served = false;
+};
+
+// Returns the requests of all counted rows.
+std::vector<SizedRequest> playSizes(const OverloadScene &Scene,
+                                    const OverloadRules &Rules);
+
 std::vector<OverloadRow> play(const OverloadScene &Scene,
                               const OverloadRules &Rules);
 
--- a/test/Overload/OverloadTest.cpp
+++ b/test/Overload/OverloadTest.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <numeric>
 
 namespace samphirehill::bench {
@@ -22,6 +23,18 @@
   return Scene;
 }
 
+double servedShare(const std::vector<SizedRequest> &Sizes, double From,
+                   double To) {
+  auto At = [&](double Share) {
+    return static_cast<std::size_t>(static_cast<double>(Sizes.size()) * Share);
+  };
+  std::size_t Served = 0;
+  for (std::size_t Index = At(From); Index < At(To); ++Index)
+    Served += Sizes[Index].Served ? 1 : 0;
+  return static_cast<double>(Served) /
+         static_cast<double>(std::max<std::size_t>(At(To) - At(From), 1));
+}
+
 OverloadRow sumOf(const std::vector<OverloadRow> &Rows) {
   OverloadRow Sum;
   for (const OverloadRow &Each : Rows)
@@ -89,5 +102,39 @@
             0.8 * sumOf(play(Scene, Hasty)).Spread);
 }
 
+// Prompts of very different lengths at groups that are too few. The users'
+// rule: the largest tenth, and the fifth below it, are served at least half as
+// often as all.
+TEST(OverloadTest, ServesLongPromptsHalfAsOftenAsAllWhenGroupsAreTooFew) {
+  for (int Groups : {6, 4, 3}) {
+    for (std::uint32_t Seed : {1u, 2u, 3u}) {
+      OverloadScene Scene;
+      Scene.Entries = 8;
+      Scene.Groups = Groups;
+      Scene.PerSecond = 75;
+      Scene.Pace = 1.0;
+      Scene.PromptTokens = 1'960;
+      Scene.PromptSpread = 1.3;
+      Scene.LongestPrompt = 5'880;
+      Scene.Events = 12;
+      Scene.Objective = milliseconds(500);
+      Scene.Length = seconds(30);
+      Scene.Seed = Seed;
+      OverloadRules Rules;
+      Rules.Placement.ManyEntries = false;
+      std::vector<SizedRequest> Sizes = playSizes(Scene, Rules);
+      std::stable_sort(Sizes.begin(), Sizes.end(),
+                       [](const SizedRequest &A, const SizedRequest &B) {
+                         return A.PromptTokens < B.PromptTokens;
+                       });
+      double All = servedShare(Sizes, 0, 1);
+      EXPECT_GE(servedShare(Sizes, 0.9, 1) * 2, All)
+          << Groups << " groups, seed " << Seed;
+      EXPECT_GE(servedShare(Sizes, 0.7, 0.9) * 2, All)
+          << Groups << " groups, seed " << Seed;
+    }
+  }
+}
+
 } // namespace
 } // namespace samphirehill::bench
