Let a long prompt be sent although some shorter ones are pending

Cause: a request was held back while the expected time to its first event exceeded 0.7 of its objective, its own prompt included. The longer the prompt, the less of that time was left for pending ones, down to none; shorter requests were sent meanwhile, so something was always pending. The long one ended as "late", and its repeat as "overloaded". The class of fault: a limit on a sum of own cost and congestion, which excludes the largest first and for good.

Now the limit is on the delay by pending prompts alone, and is at least a quarter of the objective whatever the request's own prompt takes.

337 ServingTests and 5 OverloadTests pass on this logic.

--- a/include/samphirehill/Serving/UpstreamBook.h
+++ b/include/samphirehill/Serving/UpstreamBook.h
@@ -104,7 +104,8 @@
   // their objective. The rest is reserved for requests that still can.
   double LateShare = 0.3;
   // A request is sent to an upstream with pending prompts only if its first
-  // event is expected within this share of its objective. Otherwise it waits in
+  // event is expected within this share of its objective, or if the pending
+  // prompts delay it by little (see promptsDelayTooLong). Otherwise it waits in
   // this entry, where the order of requests can still be changed.
   double ObjectiveShare = 0.7;
   // Assumed mean time of a plain service's request, for ranking its instances.
--- a/lib/Serving/PlacementScore.cpp
+++ b/lib/Serving/PlacementScore.cpp
@@ -8,6 +8,11 @@
 namespace samphirehill::serving {
 namespace {
 
+// Share of the objective that pending prompts may always delay a first event.
+// A long prompt would otherwise wait until hardly any other is pending, while
+// shorter ones are sent past it.
+constexpr double LeastPromptDelay = 0.25;
+
 // Returns the expected time to the first event, in seconds. If the complete
 // answer is not expected in time, its expected time is added.
 double generationScore(const UpstreamState &State, UpstreamLoad Load,
@@ -51,9 +56,17 @@
   UpstreamLoad Load = totalLoad(State);
   if (!Query.Engine || Load.PendingTokens == 0)
     return false;
-  Duration First = expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine,
-                                      State.Info.Pace);
-  return toSeconds(First) > Limits.ObjectiveShare * toSeconds(Query.Objective);
+  auto FirstEvent = [&] {
+    return toSeconds(expectedFirstEvent(Load, Query.PromptTokens, *Query.Engine,
+                                        State.Info.Pace));
+  };
+  double Behind = FirstEvent();
+  Load.PendingTokens = 0;
+  double Alone = FirstEvent();
+  double Objective = toSeconds(Query.Objective);
+  double Allowed = std::max(Limits.ObjectiveShare * Objective - Alone,
+                            LeastPromptDelay * Objective);
+  return Behind - Alone > Allowed;
 }
 
 double score(const UpstreamState &State, const UpstreamLoad &Load,
--- a/lib/Serving/PlacementScore.h
+++ b/lib/Serving/PlacementScore.h
@@ -16,7 +16,8 @@
                            const PlacementQuery &Query, Duration ReportAge);
 
 // Returns whether the pending prompts at the upstream would delay the first
-// event beyond the share of the objective that ObjectiveShare allows.
+// event beyond the share of the objective that ObjectiveShare allows, and by
+// more than any request, however long its own prompt, has to accept.
 bool promptsDelayTooLong(const UpstreamState &State,
                          const PlacementQuery &Query,
                          const PlacementLimits &Limits);
