--- a/test/Serving/StatedLimitsTest.cpp
+++ b/test/Serving/StatedLimitsTest.cpp
@@ -97,6 +97,7 @@
 
 TEST(StatedLimitsTest, LetsAFewOfManyEntriesShareALowLimit) {
   std::vector<EntryId> All;
+  All.reserve(300);
   for (int Number = 0; Number < 300; ++Number)
     All.emplace_back("edge-" + std::to_string(Number));
   double Rates = 0;
