Play the next epoch of a group in the rig of copied refusals

Engines that form groups are those of review/1, whose module plays its case when it is loaded; the rig keeps it from doing so.

--- a/bench/copies/play.py
+++ b/bench/copies/play.py
@@ -30,6 +30,25 @@
 import standins  # noqa: E402
 from standins import Engine, Entry, Store, now  # noqa: E402
 
+
+
+def load_group_engines():
+    """Returns the module of the review's first case, which has engines that
+    form groups. The module plays its case when it is loaded; not here."""
+    spec = importlib.util.spec_from_file_location(
+        "group_engines", ROOT / "review/1/case.py")
+    module = importlib.util.module_from_spec(spec)
+    play_case_of_review = standins.main
+    standins.main = lambda *_: None
+    try:
+        spec.loader.exec_module(module)
+    finally:
+        standins.main = play_case_of_review
+    return module
+
+
+group_engines = load_group_engines()
+
 SERVICE = "wuno96b"
 ZONE = "amman-east"
 PROMISES = (408, 421, 429, 503)
@@ -38,8 +57,13 @@
 KINDS = {"booking": ("/puxa403/", "unsafe", "POST"),
          "stream": ("/teli220/", "stream", "POST"),
          "lookup": ("/cufi504/", "safe", "GET"),
-         "head": ("/cufi504/", "safe", "HEAD")}
-ONCE = ("booking", "stream")
+         "head": ("/cufi504/", "safe", "HEAD"),
+         "generation": ("/lohu930/", "stream", "POST")}
+ONCE = ("booking", "stream", "generation")
+GENERATION_HEADERS = (
+    f"X-Samphirehill-Model: {group_engines.MODEL}\r\n"
+    "X-Samphirehill-Token-Counts: 1460,135\r\n"
+    "X-Samphirehill-Prefix-Hash: 5c1e07a2:1460\r\n").encode()
 # When the copy of a refusal is written: on the idle connection; before the next
 # answer on the connection, in one write with it, or behind it.
 MOMENTS = ("idle", "before", "with", "behind")
@@ -164,7 +188,7 @@
     def answer_to(self, line, ident):
         if line.startswith("HEAD"):
             return self.head(200, ident, 800)
-        if KINDS["stream"][0] not in line:
+        if KINDS["booking"][0] in line or KINDS["lookup"][0] in line:
             return self.head(200, ident, 800) + b"x" * 800
         events = b"".join(b"id: %d\ndata: t\n\n" % n for n in range(1, 6))
         return self.head(200, ident, len(events),
@@ -183,11 +207,47 @@
             pending.append((moment, self.refusal(status, ident, form)))
 
 
+class CopyingGroupEngine(CopyingEngine, group_engines.CallsEngine):
+    """An engine of a group that refuses and copies like CopyingEngine."""
+
+    async def serve_one(self, line, headers, body, writer, pending):
+        writer.entry = None
+        if "/-/" in line:
+            await self.dispatch(self, line, headers, body, writer)
+            return
+        await super().serve_one(line, headers, body, writer, pending)
+
+    def is_serving(self):
+        return bool(self.group) and self.group["phase"] == "open"
+
+    def drop_group(self):
+        self.group, self.members = None, []
+        self.report()
+
+
+def model_backend():
+    return {"name": group_engines.SERVICE, "health_path": "/healthz",
+            "max_connections": 474, "protocol": "h1", "tls_enabled": False,
+            "cold_start_s": 0.0, "cold_per_s": 36.0, "engine": {
+                "capacity_slots": 26, "kv_capacity": 1400000,
+                "kv_bytes": 35136, "bandwidth_mbps": 400000.0, "stride": 5,
+                "models": [{"name": group_engines.MODEL, "size": 2,
+                            "share": 1.0, "pace": 0.6, "load_s": 12.0,
+                            "warm_s": 1.1}],
+                "step_ms": 6.07, "per_seq_ms": 0.241,
+                "context_per_k": 0.00488, "read_per_s": 46000.0,
+                "pairs_per_m": 0.7, "chunk": 2048, "report_lag_ms": 200.0,
+                "loads_per_s": 4.0, "loads_at_once": 6, "delays": [],
+                "usual": {"prompt": 1076, "answer": 116}, "retains": 1,
+                "far_x": 2.5, "form_ms": 300.0}}
+
+
 class World:
     """A store, engines at fixed addresses and entries."""
 
     def __init__(self, folder, record, plan):
         self.folder, self.record, self.plan = folder, record, plan
+        group_engines.GroupEngine.fleet = {}
         self.judge = Judge(record)
         self.engines, self.entries = [], []
         self.count = 0
@@ -197,14 +257,16 @@
         self.store = Store(self.record)
         await self.store.start()
         routes = []
-        for number, kind in enumerate(("booking", "stream", "lookup")):
+        for number, kind in enumerate(("booking", "stream", "lookup",
+                                       "generation")):
             path, route_type, _ = KINDS[kind]
-            route = standins.route(f"r-{number}", path, SERVICE, route_type,
+            service = group_engines.SERVICE if kind == "generation" else SERVICE
+            route = standins.route(f"r-{number}", path, service, route_type,
                                    2500, 150, 2)
             route["resumable"] = False
             routes.append(route)
         self.store.put("config", "main", standins.configuration(
-            routes, [standins.plain_backend(SERVICE, 400)]))
+            routes, [standins.plain_backend(SERVICE, 400), model_backend()]))
         for _ in range(engines):
             await self.add_engine()
         for number in range(1, entries + 1):
@@ -224,6 +286,27 @@
         self.engines.append(engine)
         return engine
 
+    async def start_group(self):
+        """Adds two engines and waits until they serve as a group."""
+        for _ in range(2):
+            self.count += 1
+            engine = CopyingGroupEngine(self.store, self.record,
+                                        f"i-{self.count:04x}",
+                                        judge=self.judge, plan=self.plan)
+            await engine.start()
+            self.engines.append(engine)
+        await self.group_serves()
+
+    async def group_serves(self):
+        until = now() + 30
+        while now() < until:
+            heads = [e for e in self.engines
+                     if isinstance(e, CopyingGroupEngine) and e.is_serving()]
+            if heads:
+                return heads[0]
+            await asyncio.sleep(0.01)
+        raise RuntimeError("no group serves")
+
     def rename(self, engine, listed):
         """Another instance takes the engine's address; its connections stay.
         listed: the store learns of it at once."""
@@ -265,7 +348,8 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(standins.request_bytes(
                 method, path + "2f", ident, 2500,
-                b"b" * 600 if method == "POST" else b""))
+                b"b" * 600 if method == "POST" else b"",
+                GENERATION_HEADERS if kind == "generation" else b""))
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 4)
             status = int(head.split(b" ")[1])
             if status == 200 and method != "HEAD":
@@ -337,6 +421,24 @@
     await asking
 
 
+async def way_epoch(world, kind, choice):
+    """A head refuses, and gets the request again in the next epoch."""
+    head = await world.group_serves()
+    await asyncio.sleep(0.3)  # until the entries have listed it
+    asking = asyncio.create_task(world.ask(world.entries[0], kind))
+    await asyncio.sleep(0.03)
+    choice["refuse"] = None
+    for engine in world.engines:
+        if isinstance(engine, CopyingGroupEngine):
+            engine.drop_group()
+    ident, status = await asking
+    again = await world.group_serves()
+    world.record(f"group of {head.ident} again at {again.ident}")
+    await asyncio.sleep(0.3)
+    if status in PROMISES:
+        await world.ask(world.entries[0], kind, ident)
+
+
 async def way_suspended(world, kind, choice):
     """The entry is suspended between the refusal and what follows it."""
     asking = asyncio.create_task(world.ask(world.entries[0], kind))
@@ -386,6 +488,9 @@
     world = World(folder, record, plan)
     await world.start(engines=1, entries=2)
     try:
+        if way == "epoch":
+            choice["refuse"] = None
+            await world.start_group()
         # A second engine, so that what a copy refuses can run again.
         second = asyncio.create_task(add_second(world, choice))
         for _ in range(3):
@@ -426,7 +531,7 @@
         while now() < until:
             entry = random.choice([e for e in world.entries
                                    if e not in stopped])
-            kind = random.choices(list(KINDS), (8, 4, 2, 1))[0]
+            kind = random.choices(list(KINDS), (8, 4, 2, 1, 0))[0]
             ident, status = await world.ask(entry, kind)
             # Refused ids come again, here or elsewhere.
             for _ in range(3):
@@ -470,7 +575,7 @@
 
 def case_table():
     for way in WAYS:
-        for kind in ONCE:
+        for kind in ("generation",) if way == "epoch" else ONCE[:2]:
             if way in NO_COPY_NEEDED:
                 yield way, kind, 503, "idle", "id"
                 continue
