End a request whose connection a stray answer has taken up

Cause: such a copy has no end, so all that follows on the connection, the request's own answer too, counts as its body; the request went on to wait for an answer that can't be read. Class: a wait for an event that can't happen. Nothing ran twice by it.

The request now fails as soon as the head of another request's answer shows that the connection ends with it (no length, or closed by the peer); the check stood at the end of that answer before, which such a copy doesn't have.

--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -268,6 +268,11 @@
       ++OtherAnswers;
     if (std::optional<Duration> Stated = keepAliveTimeout(Reader.headers()))
       PeerIdleTimeout = *Stated - IdleMargin;
+    // The connection ends with this answer: the peer says so, or the answer has
+    // no length. The request's own answer can't follow.
+    if (!AnswersRequest && !Keep && Reader.status() >= 200)
+      fail("another request's answer ends the connection",
+           ExchangeFailure::NotSent, ExchangeFailure::Unusable);
     return !Options.AnswerHasNoBody;
   }
 
@@ -281,13 +286,7 @@
   void messageComplete() {
     if (!Busy)
       return; // cancelled by a handler
-    if (!AnswersRequest) {
-      if (!PeerKeepsAlive && Reader.status() >= 200)
-        fail("closed after another request's answer", ExchangeFailure::NotSent,
-             ExchangeFailure::Unusable);
-      return;
-    }
-    AnswerComplete = true;
+    AnswerComplete = AnswersRequest;
   }
 
   // Called when the request's answer is complete. MayKeep says whether the
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -148,5 +148,42 @@
   EXPECT_EQ(Peer.connections().size(), 2u);
 }
 
+// A copy of a refusal without a length takes up the rest of its connection. The
+// request must not wait for an answer that can't be read.
+TEST(UpstreamExchangeStrayTest, FailsAtOnceWhenStrayAnswerHasNoEnd) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  ExchangePool Pool(Context, Timers);
+  ScriptedServer Peer(Context, [](ScriptedConnection &To, int Number) {
+    if (Number == 1)
+      return To.send(answer("200 OK\r\nid: r1", "x"));
+    To.send("HTTP/1.1 503 Full\r\nid: r1\r\n\r\n" +
+            answer("200 OK\r\nid: r2", "x"));
+  });
+  std::optional<ExchangeFailure> Failure;
+  for (const std::string Id : {"r1", "r2"}) {
+    ExchangeOptions Options;
+    Options.RequestId = Id;
+    bool Done = false;
+    ExchangeHandlers Handlers;
+    Handlers.OnHead = [&](const HttpResponse &Head) {
+      return *findHeader(Head.Headers, "id") == Id;
+    };
+    Handlers.OnEnd = [&] { Done = true; };
+    Handlers.OnFailure = [&](ExchangeFailure Kind, const std::string &) {
+      Failure = Kind;
+      Done = true;
+    };
+    HttpRequest Request{"GET", "/", {{"Host", "h"}}, {}};
+    std::shared_ptr<Exchange> Running = Pool.start(
+        {"127.0.0.1", Peer.port()}, serialize(Request), Options, Handlers);
+    EXPECT_TRUE(runUntil(Context, [&] { return Done; }));
+    if (!Done)
+      Running->cancel();
+  }
+  EXPECT_EQ(Peer.connections().size(), 1u);
+  EXPECT_EQ(Failure, ExchangeFailure::Unusable);
+}
+
 } // namespace
 } // namespace samphirehill::serving
