List anew when the platform's store was restored

Cause: a watch went on from its revision, which the restored store had given out again, so it answered without the changes below it. Only an entry that came back before the counter had passed that revision got 410. Class: a number is compared across the reset of its counter.

All calls share the store's era. When an answer shows a higher one, each watch drops its revision and what it is reading, lists anew, and counts as not following until then; instances that are missing from that list may be back within two seconds, as after an outage. An answer of an earlier era counts as none; for a write the outcome is unknown then. Lists of several pages begin again when the store is restored between them.

Tests that failed before: StoreTest.ListsAgainWhenRestoredStoreHasPassedTheRevision, TakesNoAnswerOfAnEarlierEra, ListsFromTheStartWhenRestoredBetweenThePages, DoesNotKnowTheOutcomeOfAWriteAnsweredInAnEarlierEra. WatchPlanTest's search over all orders now has restorations among its events.

--- a/include/samphirehill/Serving/StoreEra.h
+++ b/include/samphirehill/Serving/StoreEra.h
@@ -1,12 +1,13 @@
 // The eras of the platform's store. The store may be restored from a copy that
-// is some seconds old: what was written since is gone, its revisions go back and
-// are given out again, and its era rises. So a revision means something only
-// within its era. No I/O.
+// is some seconds old: what was written since is gone, its revisions go back
+// and are given out again, and its era rises. So a revision means something
+// only within its era. No I/O.
 #ifndef SAMPHIREHILL_SERVING_STOREERA_H
 #define SAMPHIREHILL_SERVING_STOREERA_H
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 
 namespace samphirehill::serving {
@@ -14,9 +15,9 @@
 // The store's era as one entry knows it.
 struct StoreEra {
   std::int64_t Current = 0; // 0: no answer has named one
-  // Called when the era has risen, before the answer that shows it is used. May
-  // be empty. Not called for the first era that is known.
-  std::function<void()> OnRestored;
+  // Called when the era has risen, before the answer that shows it is used, but
+  // not for the first era that is known. By subscriber.
+  std::map<const void *, std::function<void()>> OnRestored;
 };
 
 // Notes the era that an answer of the store names, if it names one. Returns
--- a/include/samphirehill/Serving/WatchPlan.h
+++ b/include/samphirehill/Serving/WatchPlan.h
@@ -25,6 +25,8 @@
   // The store's revision up to which all changes are known; 0: none yet.
   std::int64_t Revision = 0;
   bool LastCallAnswered = false;
+  // The store was restored from a copy, and no list has been read since.
+  bool Restored = false;
   // The store could not be read for so long that objects may have expired.
   bool Outage = false;
   int Failures = 0;          // failed and repeated calls since the last answer
@@ -79,6 +81,9 @@
 // The plan lists again, after a pause if the list before this one has been of
 // no use for the same reason.
 WatchStep noteHistoryGone(WatchPlan &Plan);
+// Records that the store was restored from a copy: the plan's revision means
+// nothing any more.
+WatchStep noteRestored(WatchPlan &Plan);
 // Records that a call failed.
 WatchStep noteFailure(WatchPlan &Plan, const WatchView &View);
 // Records that the pause before Call is over and Call begins.
@@ -94,7 +99,8 @@
 // Records that a relay has sent all changes up to Revision.
 void advance(WatchPlan &Plan, std::int64_t Revision);
 
-// Returns whether the plan reads changes from the store and the store answers.
+// Returns whether the plan reads changes from the store, the store answers, and
+// a list of its present era has been read.
 bool isFollowingStore(const WatchPlan &Plan);
 
 } // namespace samphirehill::serving
--- a/lib/Serving/StoreEra.cpp
+++ b/lib/Serving/StoreEra.cpp
@@ -14,8 +14,8 @@
   if (Before == 0)
     return true;
   spdlog::warn("event=store_restored era={} before={}", Era.Current, Before);
-  if (Era.OnRestored)
-    Era.OnRestored();
+  for (const auto &[Subscriber, Call] : Era.OnRestored)
+    Call();
   return true;
 }
 
--- a/lib/Serving/WatchPlan.cpp
+++ b/lib/Serving/WatchPlan.cpp
@@ -46,6 +46,7 @@
 void noteAnswer(WatchPlan &Plan, std::int64_t Revision) {
   Plan.Revision = Revision;
   Plan.LastCallAnswered = true;
+  Plan.Restored = false;
   Plan.Outage = false;
   Plan.Failures = 0;
   Plan.Deferrals = 0;
@@ -100,6 +101,13 @@
                doubled(FirstRetryDelay, Plan.HistoryGaps - 2, MaxRetryDelay));
 }
 
+WatchStep noteRestored(WatchPlan &Plan) {
+  Plan.Revision = 0;
+  Plan.HistoryGaps = 0;
+  Plan.Restored = true;
+  return startCall(Plan, WatchCall::List);
+}
+
 WatchStep noteFailure(WatchPlan &Plan, const WatchView &View) {
   if (Plan.LastCallAnswered || Plan.LostAt == TimePoint{})
     Plan.LostAt = View.Now;
@@ -150,7 +158,8 @@
 }
 
 bool isFollowingStore(const WatchPlan &Plan) {
-  return Plan.LastCallAnswered && Plan.Phase != WatchPhase::FollowingRelay;
+  return Plan.LastCallAnswered && !Plan.Restored &&
+         Plan.Phase != WatchPhase::FollowingRelay;
 }
 
 } // namespace samphirehill::serving
--- a/test/Platform/StoreTest.cpp
+++ b/test/Platform/StoreTest.cpp
@@ -20,6 +20,13 @@
          Text;
 }
 
+// Like reply, from a store in Era.
+std::string replyIn(int Era, int Status, const json &Body) {
+  std::string Text = reply(Status, Body);
+  return Text.insert(Text.find("\r\n"),
+                     "\r\nStore-Era: " + std::to_string(Era));
+}
+
 json object(const std::string &Name, std::int64_t Revision, int Value) {
   return {{"metadata", {{"name", Name}, {"revision", Revision}}},
           {"spec", Value}};
@@ -353,5 +360,82 @@
   }
 }
 
+// Guards against watches that go on from a revision that the restored store
+// gives out again, and miss what was written below it (CONFIG).
+TEST_F(StoreTest, ListsAgainWhenRestoredStoreHasPassedTheRevision) {
+  ScriptedServer Server(Context, [&](ScriptedConnection &To, int Number) {
+    bool IsList = Server.Heads.back().find("watch=") == std::string::npos;
+    if (IsList && Number == 1)
+      return To.send(replyIn(
+          1, 200, {{"items", {object("a", 5, 1)}}, {"store_revision", 5}}));
+    if (Number == 2)
+      return To.reset(); // the store goes away
+    if (IsList)
+      return To.send(replyIn(
+          2, 200, {{"items", {object("a", 4, 2)}}, {"store_revision", 9}}));
+    To.send(
+        replyIn(2, 200, {{"events", json::array()}, {"store_revision", 9}}));
+  });
+  startWatch(Server);
+  EXPECT_TRUE(awaitReceived("a=2"));
+  EXPECT_EQ(Received, (std::vector<std::string>{"all", "a=1",
+                                                "all after outage", "a=2"}));
+}
+
+TEST_F(StoreTest, TakesNoAnswerOfAnEarlierEra) {
+  ScriptedServer Server(Context, [&](ScriptedConnection &To, int Number) {
+    int Era = Number == 3 ? 1 : 2; // late
+    bool IsList = Server.Heads.back().find("watch=") == std::string::npos;
+    if (IsList)
+      return To.send(replyIn(
+          Era, 200,
+          {{"items", {object("a", 4, Number)}}, {"store_revision", 9}}));
+    if (Number == 2)
+      return To.send(replyIn(
+          3, 200,
+          {{"events", {{{"removed", false}, {"object", object("a", 9, 0)}}}},
+           {"store_revision", 9}}));
+  });
+  startWatch(Server);
+  EXPECT_TRUE(runUntil(Context, [&] { return Server.requests() >= 4; }));
+  EXPECT_EQ(Received, (std::vector<std::string>{"all", "a=1"}));
+}
+
+TEST_F(StoreTest, ListsFromTheStartWhenRestoredBetweenThePages) {
+  ScriptedServer Server(Context, [&](ScriptedConnection &To, int Number) {
+    if (Server.Heads.back().find("watch=") != std::string::npos)
+      return;
+    bool First = Server.Heads.back().find("after=") == std::string::npos;
+    To.send(replyIn(Number == 1 ? 1 : 2, 200,
+                    {{"items", {object(First ? "a" : "b", 1, Number)}},
+                     {"truncated", First},
+                     {"store_revision", 5}}));
+  });
+  startWatch(Server);
+  EXPECT_TRUE(awaitReceived("b=4"));
+  EXPECT_EQ(Received,
+            (std::vector<std::string>{"all after outage", "a=3", "b=4"}));
+}
+
+// What a write in an earlier era has acknowledged may be gone.
+TEST_F(StoreTest, DoesNotKnowTheOutcomeOfAWriteAnsweredInAnEarlierEra) {
+  int Era = 2;
+  ScriptedServer Server(Context, [&](ScriptedConnection &To, int) {
+    To.send(replyIn(Era, 200, object("a", 4, 1)));
+  });
+  serving::ObjectStore Store = objectStore(access(Server));
+  std::vector<Outcome<serving::StoredObject>> Results;
+  for (int Next : {2, 1}) {
+    Era = Next;
+    std::size_t Before = Results.size();
+    Store.Write("things", {"a", 3, "1"},
+                [&](const auto &Done) { Results.push_back(Done); });
+    ASSERT_TRUE(runUntil(Context, [&] { return Results.size() > Before; }));
+  }
+  EXPECT_FALSE(errorOf(Results[0]));
+  ASSERT_TRUE(errorOf(Results[1]));
+  EXPECT_EQ(errorOf(Results[1])->Code, ResultCode::UnknownWriteOutcome);
+}
+
 } // namespace
 } // namespace samphirehill::platform
--- a/test/Serving/StoreEraTest.cpp
+++ b/test/Serving/StoreEraTest.cpp
@@ -9,7 +9,7 @@
 TEST(StoreEraTest, TellsRestorationsFromTheFirstEraThatIsKnown) {
   int Restored = 0;
   StoreEra Era;
-  Era.OnRestored = [&] { ++Restored; };
+  Era.OnRestored[&Restored] = [&] { ++Restored; };
   EXPECT_TRUE(noteAnswerEra(Era, std::nullopt));
   EXPECT_TRUE(noteAnswerEra(Era, 4));
   EXPECT_TRUE(noteAnswerEra(Era, 4));
--- a/test/Serving/WatchPlanTest.cpp
+++ b/test/Serving/WatchPlanTest.cpp
@@ -29,11 +29,12 @@
   StoreSilent,  // calls get no answer
   NewerVersion, // another entry reports a newer version
   Suspension,   // the process is suspended for three seconds
+  Restored,     // the store was restored from a copy
 };
 constexpr std::array AllEvents{TestEvent::RelayUp,     TestEvent::RelayDown,
                                TestEvent::StoreUp,     TestEvent::StoreDown,
                                TestEvent::StoreSilent, TestEvent::NewerVersion,
-                               TestEvent::Suspension};
+                               TestEvent::Suspension,  TestEvent::Restored};
 
 // Two watches of an entry: the second leaves it to the first to find out when
 // the store recovers. Time advances in steps. The entry reconciles its watches
@@ -59,6 +60,10 @@
     case TestEvent::Suspension:
       Now += seconds(3);
       break;
+    case TestEvent::Restored:
+      for (Watch &Each : Watches)
+        follow(Each, noteRestored(Each.Plan));
+      break;
     }
   }
 
@@ -89,6 +94,12 @@
     return Longest;
   }
 
+  // Returns whether a watch has no list of the store's present era.
+  bool lacksList() const {
+    return std::any_of(Watches.begin(), Watches.end(),
+                       [](const Watch &Each) { return Each.Plan.Restored; });
+  }
+
 private:
   struct Watch {
     WatchPlan Plan;
@@ -166,7 +177,8 @@
 
 // Tries all sequences of up to Left more events after Order, with one step or
 // none between events. Returns the first sequence after which a watch stays
-// idle for longer than MaxIdleTime without a relay; empty if there is none.
+// idle for longer than MaxIdleTime without a relay, or goes on from a revision
+// of before the store was restored; empty if there is none.
 std::vector<TestEvent> findIdleWatch(const WatchSimulation &Simulation,
                                      std::vector<TestEvent> Order, int Left) {
   WatchSimulation Recovered = Simulation;
@@ -174,7 +186,7 @@
   Recovered.apply(TestEvent::StoreUp);
   for (TimePoint Begin{}; Begin < TimePoint{seconds(4)}; Begin += Step)
     Recovered.runStep();
-  if (Recovered.longestIdleTime() > MaxIdleTime)
+  if (Recovered.longestIdleTime() > MaxIdleTime || Recovered.lacksList())
     return Order;
   if (Left == 0)
     return {};
