Compare what entries tell each other of the store by era

What callers saw: an entry that follows relays sent requests into a zone that had been taken out of service after the store was restored (EVAC); entries stayed on an old configuration although each report of a relay named a newer one (CONFIG). Cause: reports carry bare revisions, so the zones out of service, the changes of the list and its state counted as newer if they were from before the restoration.

Reports name the era of the list and of the zones out of service, and each change its own. Marks (era, revision) are compared, changes of an earlier era are sent no more, digests are compared within one era only. A relay that doesn't know of the restoration doesn't count as one, so its followers read the store themselves; an entry that hears of a later era reads the store at once. Fields of earlier releases are kept; they name no era (0), and don't count as relays for entries that know one.

--- a/include/samphirehill/Serving/EntryReport.h
+++ b/include/samphirehill/Serving/EntryReport.h
@@ -13,6 +13,7 @@
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/ListChanges.h"
 #include "samphirehill/Serving/StatedLimits.h"
+#include "samphirehill/Serving/StoreEra.h"
 #include "samphirehill/Serving/UpstreamBook.h"
 
 #include <cstdint>
@@ -47,15 +48,18 @@
   // In a summary: the entries whose reports are included, with the sequence
   // numbers of those reports.
   std::map<EntryId, std::uint64_t> Included;
-  // The store's revision up to which the sender's list of instances is complete
-  // now, or 0 if the sender does not follow the store; and the list's digest.
+  // The store's era as the sender knows it; 0: the store names none.
+  std::int64_t StoreEra = 0;
+  // The revision in that era up to which the sender's list of instances is
+  // complete now, or 0 if the sender does not follow the store; and the list's
+  // digest.
   std::int64_t ListRevision = 0;
   std::uint64_t ListDigest = 0;
   // From a relay: recent changes of the list.
   std::vector<ListChange> Changes;
   // Zones out of service, as of a revision of the platform's store.
   std::set<ZoneId> ZonesOut;
-  std::int64_t ZonesOutRevision = 0;
+  StoreMark ZonesOutMark;
   // In a summary of several zones: the zones that it includes.
   std::set<ZoneId> SummedZones;
   // Requests per second that callers send, by the upstreams that may serve
--- a/include/samphirehill/Serving/ListChanges.h
+++ b/include/samphirehill/Serving/ListChanges.h
@@ -7,6 +7,7 @@
 
 #include "samphirehill/Core/Time.h"
 #include "samphirehill/Serving/Fleet.h"
+#include "samphirehill/Serving/StoreEra.h"
 
 #include <cstdint>
 #include <map>
@@ -22,20 +23,26 @@
   std::int64_t Revision = 0; // of the change, in the platform's store
   bool Removed = false;
   std::optional<ListedInstance> Listed; // absent if it can't be decoded
+  std::int64_t Era = 0; // of the store, in which Revision was given out
 
   bool operator==(const ListChange &) const = default;
 };
 
+inline StoreMark markOf(const ListChange &Change) {
+  return {Change.Era, Change.Revision};
+}
+
 // What is known of the list's objects, and the recent changes to send.
 struct ListChanges {
   struct Known {
-    std::int64_t Revision = 0;
+    StoreMark Mark;
     bool Removed = false;
     TimePoint ChangedAt{};
   };
   std::map<std::string, Known> Objects; // by name
   // Digest of the names and revisions of the objects that exist.
   std::uint64_t Digest = 0;
+  std::int64_t Era = 0; // of the store, when the complete list was read
   struct Recent {
     ListChange Change;
     TimePoint At{};    // when the change arrived
@@ -49,9 +56,10 @@
 bool recordChange(ListChanges &Changes, const ListChange &Change,
                   TimePoint Now);
 
-// Replaces what is known by the complete list All.
+// Replaces what is known by the complete list All, read in Era. Changes of an
+// earlier era are sent no more.
 void replaceList(ListChanges &Changes, const std::vector<ListChange> &All,
-                 TimePoint Now);
+                 std::int64_t Era, TimePoint Now);
 
 // Drops changes that are too old to be sent, and removed objects whose late
 // changes can no longer arrive.
@@ -65,19 +73,19 @@
 
 // How up to date an entry's list is, compared with the lists of its relays.
 struct ListSync {
-  // The newest revision as of which this entry's list equals the store's.
-  std::int64_t SyncedRevision = 0;
-  std::int64_t RelayRevision = 0; // the newest revision of a relay's list
-  TimePoint BehindSince{};        // time point zero: not behind the relays
-  TimePoint ReadAt{};             // last read of missed changes from the store
+  // The newest mark as of which this entry's list equals the store's.
+  StoreMark Synced;
+  StoreMark Relayed;       // the newest mark of a relay's list
+  TimePoint BehindSince{}; // time point zero: not behind the relays
+  TimePoint ReadAt{};      // last read of missed changes from the store
 };
 
-// Notes whether a relay's list, as of Revision, is the same as this entry's.
-void noteRelayedList(ListSync &Sync, std::int64_t Revision, bool Same,
+// Notes whether a relay's list, as of Mark, is the same as this entry's.
+void noteRelayedList(ListSync &Sync, const StoreMark &Mark, bool Same,
                      TimePoint Now);
 
-// Notes that this entry's list equals the store's as of Revision.
-void noteOwnList(ListSync &Sync, std::int64_t Revision);
+// Notes that this entry's list equals the store's as of Mark.
+void noteOwnList(ListSync &Sync, const StoreMark &Mark);
 
 // Returns whether changes that no relay has sent must now be read from the
 // store, and if so counts the read as made at Now. Pause is the minimum time
--- a/include/samphirehill/Serving/PeerGossip.h
+++ b/include/samphirehill/Serving/PeerGossip.h
@@ -49,6 +49,9 @@
   // Adds an entry that the platform's store lists.
   void addPeer(const EntryDescription &Listed);
 
+  // Sets the era of the platform's store as this entry knows it.
+  void setStoreEra(std::int64_t Era) { Table.StoreEra = Era; }
+
   // Sends a report soon, ahead of the next period. For news that other entries
   // need at once.
   void sendSoon();
--- a/include/samphirehill/Serving/PeerTable.h
+++ b/include/samphirehill/Serving/PeerTable.h
@@ -72,6 +72,8 @@
   EntryId Self;
   ZoneId Zone;
   double ProcessorShare = 0; // cores
+  // The era of the platform's store as this entry knows it; 0: none is named.
+  std::int64_t StoreEra = 0;
   std::map<EntryId, PeerEntry> Peers;
   // By zone and the relay that made the summary.
   std::map<ZoneId, std::map<EntryId, SummaryEntry>> Summaries;
@@ -118,7 +120,8 @@
                                       TimePoint Now);
 
 // Returns whether a relay of this entry's zone sends it the changes of the list
-// of instances. False for relays, which read the platform's store themselves.
+// of instances. False for relays, which read the platform's store themselves,
+// and while the relays don't know that the store was restored.
 bool isListRelayed(const PeerTable &Table, TimePoint Now);
 
 // Returns whether this entry is chosen as a relay; it acts as one as soon as
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -44,16 +44,20 @@
 // The adapter's reading of the platform's store. The adapter supplies the
 // functions, the entry calls them.
 struct PlatformReader {
-  // Returns the store's revision up to which the adapter has passed on all
+  // Returns the store's era as its answers name it, or 0.
+  std::function<std::int64_t()> Era;
+  // Returns the revision in this era up to which the adapter has passed on all
   // changes of the list of instances, or 0 while it does not follow every kind
   // of object in the store.
   std::function<std::int64_t()> FollowedRevision;
   // Called when a relay has confirmed that this entry's list of instances
-  // contains all changes up to Revision.
+  // contains all changes up to Revision in the present era.
   std::function<void(std::int64_t Revision)> ConfirmListRevision;
-  // Each reads the changes of its objects from the store once.
+  // Each reads the changes of its objects from the store once; ReadAll those of
+  // all kinds.
   std::function<void()> ReadList;
   std::function<void()> ReadConfiguration;
+  std::function<void()> ReadAll;
   // Called periodically. Resumes reading the kinds of objects that are not
   // read because a relay sends them, if no relay does so any more.
   std::function<void()> Reconcile;
@@ -89,18 +93,20 @@
   // configuration in force.
   void applyConfiguration(Configuration Changed);
   // Replaces the list of instances by All. AfterOutage: the store could not be
-  // read for a while, and instances whose objects expired meanwhile may be
-  // listed again soon.
+  // read for a while, or was restored from a copy, and instances that are
+  // missing from it may be listed again soon.
   void replaceList(const std::vector<ListChange> &All, bool AfterOutage);
   // Applies one change of the list, unless it has already arrived by another
   // way, such as from another entry.
   void applyListChange(const ListChange &Change);
-  // Notes that the list equals the store's as of Revision.
-  void noteListRead(std::int64_t Revision);
-  // Sets the zones out of service as of Revision. Ignores a revision older
-  // than that of the zones in force.
-  void setZonesOut(std::set<ZoneId> Zones, std::int64_t Revision);
-  void setZoneOut(const ZoneId &Zone, bool Out, std::int64_t Revision);
+  // Notes that the store was restored from a copy: storeEra() has risen.
+  void noteStoreRestored();
+  // Notes that the list equals the store's as of Mark.
+  void noteListRead(const StoreMark &Mark);
+  // Sets the zones out of service as of Mark. Ignores a mark older than that of
+  // the zones in force.
+  void setZonesOut(std::set<ZoneId> Zones, const StoreMark &Mark);
+  void setZoneOut(const ZoneId &Zone, bool Out, const StoreMark &Mark);
 
   void setPlatformReader(PlatformReader NewReader) {
     Reader = std::move(NewReader);
@@ -167,6 +173,11 @@
   // Returns why this entry isn't ready; empty if it is.
   std::string unreadyCause() const;
   void answerReadiness(const std::shared_ptr<CallerRequest> &Request);
+  // Returns the store's era as this entry knows it, or 0.
+  std::int64_t storeEra() const { return Reader.Era ? Reader.Era() : 0; }
+  // Reads the store if Report shows that it was restored since this entry read
+  // it.
+  void followEra(const EntryReport &Report);
   void applyRelayReport(const EntryReport &Report);
   // Returns the maximum age of the list while the platform can be reached.
   // Less than the drain time, so that an instance that drains gets no new
@@ -208,13 +219,14 @@
   PlatformReader Reader;
   ListChanges Changes;
   ListSync Sync;
-  std::int64_t ZonesOutRevision = 0;
+  StoreMark ZonesOutMark;
   TimePoint ReachProbedAt{};
   std::string UnreadyCause = "starting"; // as last logged
   PlatformSource Source = PlatformSource::None;
   std::string UnfollowedKinds; // as last logged; empty unless Source is None
   bool PeersListed = false;    // the other entries have been listed once
   TimePoint ConfigurationRequestedAt{};
+  TimePoint EraRequestedAt{};
   Incarnation Life = 0;
   std::minstd_rand Random{std::random_device{}()};
   std::int64_t OwnRevision = 0; // of this entry's object in the store
--- a/include/samphirehill/Serving/StoreEra.h
+++ b/include/samphirehill/Serving/StoreEra.h
@@ -5,6 +5,7 @@
 #ifndef SAMPHIREHILL_SERVING_STOREERA_H
 #define SAMPHIREHILL_SERVING_STOREERA_H
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,6 +13,15 @@
 
 namespace samphirehill::serving {
 
+// A revision of the store, in the era in which it was given out. Later marks
+// are greater.
+struct StoreMark {
+  std::int64_t Era = 0; // 0: the store names none
+  std::int64_t Revision = 0;
+
+  auto operator<=>(const StoreMark &) const = default;
+};
+
 // The store's era as one entry knows it.
 struct StoreEra {
   std::int64_t Current = 0; // 0: no answer has named one
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -13,6 +13,7 @@
 void encode(const ListChange &Change, wire::ListChange &Encoded) {
   Encoded.set_name(Change.Name);
   Encoded.set_revision(Change.Revision);
+  Encoded.set_era(Change.Era);
   Encoded.set_removed(Change.Removed);
   if (!Change.Listed)
     return;
@@ -40,7 +41,8 @@
 }
 
 ListChange decode(const wire::ListChange &Encoded) {
-  ListChange Change{Encoded.name(), Encoded.revision(), Encoded.removed(), {}};
+  ListChange Change{
+      Encoded.name(), Encoded.revision(), Encoded.removed(), {}, Encoded.era()};
   if (!Encoded.has_listed())
     return Change;
   const wire::ListedInstance &EncodedInstance = Encoded.listed();
@@ -244,11 +246,13 @@
   }
   State.set_list_revision(Report.ListRevision);
   State.set_list_digest(Report.ListDigest);
+  State.set_store_era(Report.StoreEra);
   for (const ListChange &Each : Report.Changes)
     encode(Each, *State.add_list_changes());
   for (const ZoneId &Each : Report.ZonesOut)
     State.add_zones_out(Each.str());
-  State.set_zones_out_revision(Report.ZonesOutRevision);
+  State.set_zones_out_revision(Report.ZonesOutMark.Revision);
+  State.set_zones_out_era(Report.ZonesOutMark.Era);
   for (const ZoneId &Each : Report.SummedZones)
     State.add_summed_zones(Each.str());
   for (const auto &[Kind, PerSecond] : Report.Demands) {
@@ -302,11 +306,12 @@
     Report.Included[EntryId(Each.entry())] = Each.sequence();
   Report.ListRevision = State.list_revision();
   Report.ListDigest = State.list_digest();
+  Report.StoreEra = State.store_era();
   for (const wire::ListChange &Each : State.list_changes())
     Report.Changes.push_back(decode(Each));
   for (const std::string &Each : State.zones_out())
     Report.ZonesOut.insert(ZoneId(Each));
-  Report.ZonesOutRevision = State.zones_out_revision();
+  Report.ZonesOutMark = {State.zones_out_era(), State.zones_out_revision()};
   for (const std::string &Each : State.summed_zones())
     Report.SummedZones.insert(ZoneId(Each));
   for (const wire::Demand &Each : State.demands())
--- a/lib/Serving/ListChanges.cpp
+++ b/lib/Serving/ListChanges.cpp
@@ -32,7 +32,7 @@
 void toggle(ListChanges &Changes, const std::string &Name,
             const ListChanges::Known &Known) {
   if (!Known.Removed)
-    Changes.Digest ^= digestOf(Name, Known.Revision);
+    Changes.Digest ^= digestOf(Name, Known.Mark.Revision);
 }
 
 std::size_t sizeOf(const ListChange &Change) {
@@ -53,27 +53,31 @@
                   TimePoint Now) {
   auto [Found, Added] = Changes.Objects.try_emplace(Change.Name);
   ListChanges::Known &Known = Found->second;
-  bool SameRevision = Change.Revision == Known.Revision;
+  StoreMark Mark = markOf(Change);
   // A removal may carry the revision of the object's last change.
-  bool IsNewer = Added || Change.Revision > Known.Revision ||
-                 (SameRevision && Change.Removed && !Known.Removed);
+  bool IsNewer = Added || Mark > Known.Mark ||
+                 (Mark == Known.Mark && Change.Removed && !Known.Removed);
   if (!IsNewer)
     return false;
   if (!Added)
     toggle(Changes, Change.Name, Known);
-  Known = {Change.Revision, Change.Removed, Now};
+  Known = {Mark, Change.Removed, Now};
   toggle(Changes, Change.Name, Known);
   Changes.ToSend[Change.Name] = {Change, Now, 0};
   return true;
 }
 
 void replaceList(ListChanges &Changes, const std::vector<ListChange> &All,
-                 TimePoint Now) {
+                 std::int64_t Era, TimePoint Now) {
+  Changes.Era = Era;
+  std::erase_if(Changes.ToSend, [Era](const auto &Entry) {
+    return Entry.second.Change.Era < Era;
+  });
   Changes.Objects.clear();
   Changes.Digest = 0;
   for (const ListChange &Each : All) {
     ListChanges::Known &Known = Changes.Objects[Each.Name];
-    Known = {Each.Revision, false, Now};
+    Known = {markOf(Each), false, Now};
     toggle(Changes, Each.Name, Known);
   }
 }
@@ -111,20 +115,20 @@
   return Next;
 }
 
-void noteRelayedList(ListSync &Sync, std::int64_t Revision, bool Same,
+void noteRelayedList(ListSync &Sync, const StoreMark &Mark, bool Same,
                      TimePoint Now) {
-  Sync.RelayRevision = std::max(Sync.RelayRevision, Revision);
+  Sync.Relayed = std::max(Sync.Relayed, Mark);
   if (Same)
-    Sync.SyncedRevision = std::max(Sync.SyncedRevision, Revision);
-  if (Sync.SyncedRevision >= Sync.RelayRevision)
+    Sync.Synced = std::max(Sync.Synced, Mark);
+  if (Sync.Synced >= Sync.Relayed)
     Sync.BehindSince = TimePoint{};
   else if (Sync.BehindSince == TimePoint{})
     Sync.BehindSince = Now;
 }
 
-void noteOwnList(ListSync &Sync, std::int64_t Revision) {
-  Sync.SyncedRevision = std::max(Sync.SyncedRevision, Revision);
-  if (Sync.SyncedRevision >= Sync.RelayRevision)
+void noteOwnList(ListSync &Sync, const StoreMark &Mark) {
+  Sync.Synced = std::max(Sync.Synced, Mark);
+  if (Sync.Synced >= Sync.Relayed)
     Sync.BehindSince = TimePoint{};
 }
 
--- a/lib/Serving/PeerTable.cpp
+++ b/lib/Serving/PeerTable.cpp
@@ -414,6 +414,7 @@
       Table.Peers.begin(), Table.Peers.end(), [&](const auto &Each) {
         const PeerEntry &Peer = Each.second;
         return Peer.Zone == Table.Zone && Peer.LastReport.ListRevision > 0 &&
+               Peer.LastReport.StoreEra >= Table.StoreEra &&
                isFresh(Peer.LastSummaryAt, Table, Now);
       });
 }
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -59,9 +59,9 @@
 // Reports that arrive within this time are applied together: a relay receives
 // those of all entries of its zone within one period.
 constexpr Duration LoadRefreshDelay = milliseconds(10);
-// Minimum time between two reads of the configuration that are made because
-// another entry reports a newer version.
-constexpr Duration ConfigurationReadPause = milliseconds(700);
+// Minimum time between two reads of the store that are made because another
+// entry reports a newer configuration, or a higher era.
+constexpr Duration ReportedReadPause = milliseconds(700);
 // How often an entry tries to connect to a zone that is cut off. Reports from
 // there usually come earlier.
 constexpr Duration ReachProbePeriod = seconds(1);
@@ -305,7 +305,7 @@
 
 void ServingEntry::replaceList(const std::vector<ListChange> &All,
                                bool AfterOutage) {
-  serving::replaceList(Changes, All, Timers.now());
+  serving::replaceList(Changes, All, storeEra(), Timers.now());
   std::set<InstanceId> Present;
   for (const ListChange &Each : All) {
     if (!Each.Listed)
@@ -335,8 +335,10 @@
     unlist(InstanceId(Change.Name));
 }
 
-void ServingEntry::noteListRead(std::int64_t Revision) {
-  noteOwnList(Sync, Revision);
+void ServingEntry::noteStoreRestored() { Peers.setStoreEra(storeEra()); }
+
+void ServingEntry::noteListRead(const StoreMark &Mark) {
+  noteOwnList(Sync, Mark);
 }
 
 void ServingEntry::applyInstance(const ListedInstance &Changed) {
@@ -393,28 +395,29 @@
   scheduleRebuild();
 }
 
-void ServingEntry::setZonesOut(std::set<ZoneId> Zones, std::int64_t Revision) {
-  if (Revision < ZonesOutRevision)
+void ServingEntry::setZonesOut(std::set<ZoneId> Zones, const StoreMark &Mark) {
+  if (Mark < ZonesOutMark)
     return;
-  ZonesOutRevision = Revision;
+  ZonesOutMark = Mark;
   if (Zones == Instances.ZonesOut)
     return;
   std::string Names;
   for (const ZoneId &Each : Zones)
     Names += (Names.empty() ? "" : ",") + Each.str();
-  spdlog::info("event=zones_out zones=\"{}\" revision={}", Names, Revision);
+  spdlog::info("event=zones_out zones=\"{}\" era={} revision={}", Names,
+               Mark.Era, Mark.Revision);
   Instances.ZonesOut = std::move(Zones);
   rebuildUpstreams();
 }
 
 void ServingEntry::setZoneOut(const ZoneId &Zone, bool Out,
-                              std::int64_t Revision) {
+                              const StoreMark &Mark) {
   std::set<ZoneId> Zones = Instances.ZonesOut;
   if (Out)
     Zones.insert(Zone);
   else
     Zones.erase(Zone);
-  setZonesOut(std::move(Zones), Revision);
+  setZonesOut(std::move(Zones), Mark);
 }
 
 void ServingEntry::applyNotices(const InstanceLife &From,
@@ -511,16 +514,19 @@
   Report.Reached = Groups.reachedInstances();
   Report.Asked = Groups.unreachedHeads();
   Report.Denials = Groups.denials();
+  Report.StoreEra = storeEra();
   Report.ListRevision = Reader.FollowedRevision ? Reader.FollowedRevision() : 0;
   Report.ListDigest = Changes.Digest;
   collectEvidence(Book, Peers.table());
   Report.Reach = Book.Reach.Seen;
   Report.ZonesOut = Instances.ZonesOut;
-  Report.ZonesOutRevision = Report.ListRevision > 0 ? ZonesOutRevision : 0;
+  if (Report.ListRevision > 0)
+    Report.ZonesOutMark = ZonesOutMark;
   return Report;
 }
 
 void ServingEntry::applyReport(const EntryReport &Report) {
+  followEra(Report);
   Groups.noteReport(Report);
   if (!LoadRefresh.active())
     LoadRefresh = Timers.after(LoadRefreshDelay, [this] {
@@ -625,6 +631,18 @@
   return Peers.isListRelayed() && !Groups.isDutyHolder();
 }
 
+void ServingEntry::followEra(const EntryReport &Report) {
+  TimePoint Now = Timers.now();
+  // An entry that knows no era yet is about to read its first lists.
+  bool Behind = storeEra() != 0 && Report.StoreEra > storeEra();
+  if (!Behind || !Reader.ReadAll || Now - EraRequestedAt < ReportedReadPause)
+    return;
+  EraRequestedAt = Now;
+  spdlog::info("event=peer_knows_later_era entry={} era={} own_era={}",
+               Report.Entry.str(), Report.StoreEra, storeEra());
+  Reader.ReadAll();
+}
+
 // An entry that gets the content of the store from a relay reads the store
 // itself only for changes that it has missed, and for a newer configuration,
 // which is too long for a datagram.
@@ -634,19 +652,21 @@
       !Peers.isListRelayed())
     return;
   TimePoint Now = Timers.now();
-  if (Report.ZonesOutRevision > ZonesOutRevision)
-    setZonesOut(Report.ZonesOut, Report.ZonesOutRevision);
-  bool ListsMatch = Report.ListDigest == Changes.Digest;
-  noteRelayedList(Sync, Report.ListRevision, ListsMatch, Now);
-  if (ListsMatch && Reader.ConfirmListRevision)
+  if (Report.ZonesOutMark > ZonesOutMark)
+    setZonesOut(Report.ZonesOut, Report.ZonesOutMark);
+  bool ListsMatch =
+      Report.StoreEra == Changes.Era && Report.ListDigest == Changes.Digest;
+  noteRelayedList(Sync, {Report.StoreEra, Report.ListRevision}, ListsMatch,
+                  Now);
+  if (ListsMatch && Changes.Era == storeEra() && Reader.ConfirmListRevision)
     Reader.ConfirmListRevision(Report.ListRevision);
   if (beginListReadIfDue(Sync, maxListAge(), Now) && Reader.ReadList) {
     spdlog::info("event=list_behind relay={} revision={} own_revision={}",
-                 Report.Entry.str(), Report.ListRevision, Sync.SyncedRevision);
+                 Report.Entry.str(), Report.ListRevision, Sync.Synced.Revision);
     Reader.ReadList();
   }
   bool Newer = !Config || Report.ConfigurationVersion > Config->Version;
-  if (!Newer || Now - ConfigurationRequestedAt < ConfigurationReadPause)
+  if (!Newer || Now - ConfigurationRequestedAt < ReportedReadPause)
     return;
   ConfigurationRequestedAt = Now;
   spdlog::info("event=peer_knows_more entry={} config={} own_config={}",
@@ -687,6 +707,7 @@
 
 void ServingEntry::tick() {
   TimePoint Now = Timers.now();
+  Peers.setStoreEra(storeEra());
   if (Reader.Reconcile)
     Reader.Reconcile();
   updatePlatformSource();
--- a/test/Platform/FeedTest.cpp
+++ b/test/Platform/FeedTest.cpp
@@ -56,6 +56,13 @@
                           R"(},"spec":)" + Spec + R"(,"status":null})";
   }
 
+  // Restores the store from a copy as of To: instances written since are gone.
+  void restore(std::int64_t To) {
+    ++Era;
+    Revision = To;
+    Instances.erase(Instances.upper_bound(To), Instances.end());
+  }
+
   // Resets the connection of the last watch of Kind.
   void resetWatch(const std::string &Kind) {
     Waits.erase(Kind);
@@ -82,10 +89,10 @@
     std::string Kind =
         Head.substr(Begin, Head.find_first_of("? ", Begin) - Begin);
     if (Head.find("watch=") == std::string::npos) {
-      From.send(serving::answer("200 OK", R"({"items":[)" +
-                                              join(objectsSince(Kind, 0)) +
-                                              R"(],"store_revision":)" +
-                                              std::to_string(Revision) + "}"));
+      From.send(serving::answer(statusLine(),
+                                R"({"items":[)" + join(objectsSince(Kind, 0)) +
+                                    R"(],"store_revision":)" +
+                                    std::to_string(Revision) + "}"));
       return;
     }
     ++Counts[Kind];
@@ -129,15 +136,21 @@
     std::vector<std::string> Events = objectsSince(Kind, Since);
     for (std::string &Event : Events)
       Event = R"({"removed":false,"object":)" + Event + "}";
-    To.send(serving::answer("200 OK", R"({"events":[)" + join(Events) +
-                                          R"(],"store_revision":)" +
-                                          std::to_string(Revision) + "}"));
+    To.send(serving::answer(statusLine(), R"({"events":[)" + join(Events) +
+                                              R"(],"store_revision":)" +
+                                              std::to_string(Revision) + "}"));
+  }
+
+  // Returns the status of answers and the header that names the era.
+  std::string statusLine() const {
+    return "200 OK\r\nStore-Era: " + std::to_string(Era);
   }
 
   TimerService &Timers;
   json Configuration;
   std::map<std::int64_t, std::string> Instances; // as JSON, by revision
   std::int64_t Revision = 100;
+  int Era = 1;
   std::map<std::string, ScriptedConnection *> Watches;
   std::map<std::string, std::int64_t> Revisions; // from which watches ask
   std::map<std::string, int> Counts;
@@ -145,6 +158,10 @@
   ScriptedServer Server;
 };
 
+const std::string ValidEntry =
+    R"({"backend":"app","address":"127.0.0.1:9","zone":"north",)"
+    R"("phase":"ready","capacity_slots":4,"born":1,"seq":1})";
+
 // Fixture with an entry and twelve other entries of its zone that are only
 // listed in the store; the test sends the messages of one of them, edge-2, as a
 // relay.
@@ -221,14 +238,19 @@
   }
 
   // Sends the entry a relay's report: the relay follows the store up to
-  // ListRevision, or doesn't follow the store (0).
-  void sendRelayReport(std::int64_t ListRevision) {
+  // ListRevision in Era, or doesn't follow the store (0). The zones out of
+  // service are as of that revision.
+  void sendRelayReport(std::int64_t ListRevision, std::int64_t Era = 1,
+                       std::set<ZoneId> ZonesOut = {}) {
     EntryMessage Message;
     Message.Own.Entry = EntryId("edge-2");
     Message.Own.Life = 1;
     Message.Own.Sequence = ++Sequence;
     Message.Own.Zone = Settings.Zone;
     Message.Own.ListRevision = ListRevision;
+    Message.Own.StoreEra = Era;
+    Message.Own.ZonesOut = std::move(ZonesOut);
+    Message.Own.ZonesOutMark = {Era, ListRevision};
     EntryReport Summary = Message.Own;
     Summary.Included[EntryId("edge-2")] = Sequence;
     Message.Summaries = {Summary};
@@ -265,15 +287,38 @@
       Context, [&] { return Store.watches("config") > WatchesBefore; }));
 }
 
+// Guards against followers that keep to what the store said before it was
+// restored (CONFIG, EVAC): its revisions are lower afterwards.
+TEST_F(FeedTest, TakesZonesOutOfRestoredStoreFromRelay) {
+  Store.writeInstance("sound", ValidEntry);
+  startFeed();
+  ASSERT_TRUE(awaitMetric("upstreams 1"));
+  sendRelayReport(100, 2, {Settings.Zone});
+  EXPECT_TRUE(awaitMetric("upstreams 0"));
+}
+
+TEST_F(FeedTest, ReadsTheStoreWhenARelayKnowsThatItWasRestored) {
+  startFeed();
+  ASSERT_TRUE(awaitMetric("configuration_version 1"));
+  sendRelayReport(100);
+  ASSERT_TRUE(runUntil(Context, [&] { return Entry->followsRelay(); }));
+  for (const char *Kind : {"config", "servers", "evacuations"})
+    Store.answerWatch(Kind);
+  Store.restore(90);
+  Store.writeConfiguration(2);
+  TimePoint Begin = Timers.now();
+  sendRelayReport(91, 2);
+  EXPECT_TRUE(awaitMetric("configuration_version 2"));
+  EXPECT_TRUE(awaitMetric("store_era 2"));
+  // Sooner than a difference between the lists makes the entry read.
+  EXPECT_LT(toMilliseconds(Timers.now() - Begin), 900);
+}
+
 struct InvalidEntry {
   const char *Name;
   std::string Spec;
 };
 
-const std::string ValidEntry =
-    R"({"backend":"app","address":"127.0.0.1:9","zone":"north",)"
-    R"("phase":"ready","capacity_slots":4,"born":1,"seq":1})";
-
 // Returns ValidEntry with Fields appended; a field that occurs twice has the
 // last value.
 std::string entryWith(const std::string &Fields) {
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -34,7 +34,8 @@
       {"i-5", 6, false, ListedInstance{Listed, milliseconds(700)}},
       {"i-6", 7, false, ListedInstance{engine("i-6", "north-d1"), {}}}};
   Report.ZonesOut = {ZoneId("south")};
-  Report.ZonesOutRevision = 6;
+  Report.StoreEra = 3;
+  Report.ZonesOutMark = {2, 6};
   Report.SummedZones = {ZoneId("west")};
   Report.Suspects = {{{{UpstreamId("i-7"), BootId("70")},
                        "north-d0",
--- a/test/Serving/ListChangesTest.cpp
+++ b/test/Serving/ListChangesTest.cpp
@@ -24,6 +24,27 @@
   EXPECT_TRUE(recordChange(Changes, change(4), Now));
 }
 
+// The store's revisions go back when it is restored from a copy.
+TEST(ListChangesTest, TakesLowerRevisionOfLaterEra) {
+  ListChanges Changes;
+  ListChange Before = change(9);
+  Before.Era = 1;
+  ListChange After = change(4);
+  After.Era = 2;
+  EXPECT_TRUE(recordChange(Changes, Before, Now));
+  EXPECT_TRUE(recordChange(Changes, After, Now));
+  EXPECT_FALSE(recordChange(Changes, Before, Now));
+}
+
+TEST(ListChangesTest, SendsNoChangesOfTheEraBeforeTheList) {
+  ListChanges Changes;
+  ListChange Before = change(9);
+  Before.Era = 1;
+  recordChange(Changes, Before, Now);
+  replaceList(Changes, {}, 2, Now);
+  EXPECT_TRUE(nextChangesToSend(Changes, Now).empty());
+}
+
 // A change that arrives late must not bring a removed object back.
 TEST(ListChangesTest, KeepsRemovedObjectsRemoved) {
   ListChanges Changes;
@@ -36,7 +57,7 @@
 TEST(ListChangesTest, ReplacesKnownObjectsWhenListIsRead) {
   ListChanges Changes;
   recordChange(Changes, change(9), Now);
-  replaceList(Changes, {change(5)}, Now);
+  replaceList(Changes, {change(5)}, 0, Now);
   EXPECT_FALSE(recordChange(Changes, change(5), Now));
   EXPECT_TRUE(recordChange(Changes, change(9), Now));
 }
@@ -105,7 +126,7 @@
 TEST(ListChangesTest, DigestsMatchOnlyWhenListsMatch) {
   ListChanges First;
   ListChanges Second;
-  replaceList(First, {named(1), named(2)}, Now);
+  replaceList(First, {named(1), named(2)}, 0, Now);
   recordChange(Second, named(2), Now);
   EXPECT_NE(First.Digest, Second.Digest);
   recordChange(Second, named(1), Now);
@@ -118,19 +139,28 @@
   EXPECT_EQ(First.Digest, Second.Digest);
 }
 
+TEST(ListSyncTest, IsBehindRelayThatHasReadALaterEra) {
+  ListSync Sync;
+  noteOwnList(Sync, {1, 90});
+  noteRelayedList(Sync, {2, 80}, false, Now);
+  EXPECT_TRUE(beginListReadIfDue(Sync, seconds(3), Now + seconds(2)));
+  noteOwnList(Sync, {2, 80});
+  EXPECT_FALSE(beginListReadIfDue(Sync, seconds(3), Now + seconds(9)));
+}
+
 TEST(ListSyncTest, ReadsListOnlyWhenBehindRelay) {
   ListSync Sync;
   const Duration Pause = seconds(3);
-  noteRelayedList(Sync, 10, true, Now);
+  noteRelayedList(Sync, {0, 10}, true, Now);
   EXPECT_FALSE(beginListReadIfDue(Sync, Pause, Now + seconds(2)));
-  noteRelayedList(Sync, 12, false, Now);
+  noteRelayedList(Sync, {0, 12}, false, Now);
   EXPECT_FALSE(beginListReadIfDue(Sync, Pause, Now + milliseconds(900)));
   // A relay that is behind itself doesn't make the list count as up to date.
-  noteRelayedList(Sync, 10, true, Now);
+  noteRelayedList(Sync, {0, 10}, true, Now);
   EXPECT_TRUE(beginListReadIfDue(Sync, Pause, Now + milliseconds(1'100)));
   EXPECT_FALSE(beginListReadIfDue(Sync, Pause, Now + seconds(3)));
   EXPECT_TRUE(beginListReadIfDue(Sync, Pause, Now + seconds(5)));
-  noteOwnList(Sync, 12);
+  noteOwnList(Sync, {0, 12});
   EXPECT_FALSE(beginListReadIfDue(Sync, Pause, Now + seconds(9)));
 }
 
