Give no term of the duty twice when the store was restored

Epochs of groups and fencing tokens are made from terms, so two holders could give orders that engines can't tell apart. Cause: the lease and its term are in the store and go back with it; a record that vanishes says nothing about its holder. Class: as in the watches, a counter that is taken to run for ever.

The record names the era in which the duty was taken. A term of a later era is 1,000 higher for each era, more than the terms that can be lost, so terms stay in order also for entries of earlier releases, which take the next one. For the length of the lease after an entry has learned of the restoration it takes the duty from nobody; the entry whose lease still lasts then takes it again at once. The duty is taken only with a revision that was read within 0.5 s, and a write that began in an earlier era proves nothing.

Ruled out: eras as a part of epochs instead of terms (an entry of an earlier release would then give lower epochs); the highest term heard plus 1,000 (the property test found a term that was lower than one given before).

Two tests were made stricter: the one of decodeDuty checks the era, the property that no term has two owners.

--- a/include/samphirehill/Serving/DutyLease.h
+++ b/include/samphirehill/Serving/DutyLease.h
@@ -7,6 +7,10 @@
 // The holder stops acting before that can happen. It measures the time since it
 // sent its last successful renewal, by a clock that includes the time for which
 // the machine was suspended.
+//
+// The store may be restored from a copy (see StoreEra.h). The record of the
+// present holder may be lost with it, so no other entry takes the duty for the
+// length of the lease after that, and terms rise by more than can be lost.
 #ifndef SAMPHIREHILL_SERVING_DUTYLEASE_H
 #define SAMPHIREHILL_SERVING_DUTYLEASE_H
 
@@ -24,6 +28,7 @@
   std::string Owner;        // the entry that holds the duty; empty: released
   std::int64_t Term = 0;    // increases each time the duty is taken
   std::int64_t Renewal = 0; // number of renewals in this term
+  std::int64_t Era = 0;     // of the store, in which the duty was taken
 
   bool operator==(const DutyRecord &) const = default;
 };
@@ -41,6 +46,7 @@
   // report from the holder for this long.
   Duration HolderSilence = milliseconds(900);
   Duration ReadEvery = milliseconds(700);
+  bool FirstStart = false; // no entry can have held the duty before
 };
 
 // One entry's view of the lease.
@@ -59,6 +65,16 @@
   bool CallRunning = false;
   TimePoint LastCallAt{};
   TimePoint LastHolderReportAt{};
+  // When the object was read, until the next write begins.
+  std::optional<TimePoint> ReadAt;
+  std::int64_t Era = 0;         // of the store, as this entry knows it
+  std::int64_t CallEra = 0;     // when the running call began
+  std::int64_t HighestTerm = 0; // of which this entry has heard, in any era
+  // Until then another entry may hold the duty by a record that is lost.
+  TimePoint DoubtUntil{};
+  // Until then this entry may take the duty at once: it held the duty when it
+  // learned that the store was restored.
+  TimePoint RetakeUntil{};
 };
 
 enum class DutyCall { None, Read, Write };
@@ -69,6 +85,11 @@
   StoredObject Object; // to be written, if Call is Write
 };
 
+// Records the store's era as its answers name it. Called before each of the
+// functions below. If the store was restored, this entry no longer holds the
+// duty.
+void noteStoreEra(DutyLease &Lease, std::int64_t Era, TimePoint Now);
+
 // Returns the call to make now, if any, and records it as running until its
 // result is passed to handleDutyRead or handleDutyWrite.
 DutyStep nextDutyStep(DutyLease &Lease, TimePoint Now);
--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -104,6 +104,9 @@
   // Records the work that callers ask all entries for, see DemandPlan.
   void noteWork(const WorkAsked &Elsewhere, const WorkAsked &Own);
 
+  // Records that the store was restored from a copy.
+  void noteStoreRestored();
+
   // Records whether the list of instances is up to date.
   void setListFollowed(bool Followed) { ListFollowed = Followed; }
 
@@ -164,6 +167,8 @@
   void tick();
   // Makes the next call for the lease, if one is due.
   void stepLease();
+  // Notes the store's era for the lease. Returns the present time of its clock.
+  TimePoint updateEra();
   void plan();
   // Logs the summaries of the models that have changed, and sets their metrics.
   void publishModels(const std::map<std::string, ModelSummary> &Before,
--- a/include/samphirehill/Serving/ObjectStore.h
+++ b/include/samphirehill/Serving/ObjectStore.h
@@ -24,6 +24,9 @@
 
 // Each function passes its result to Done.
 struct ObjectStore {
+  // Returns the store's era as its answers name it, or 0; see StoreEra.h. May
+  // be empty: the store names none.
+  std::function<std::int64_t()> Era;
   // Reads one object. The result is nothing if it doesn't exist.
   std::function<void(
       const std::string &Kind, const std::string &Name,
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -52,6 +52,7 @@
       Metrics(Metrics), Store(std::move(Store)), Calls(std::move(Calls)),
       Settings(std::move(Settings)) {
   Lease.Self = this->Settings.Entry;
+  Lease.Settings.FirstStart = this->Settings.FirstStart;
 }
 
 void GroupController::start() {
@@ -89,8 +90,19 @@
   });
 }
 
+void GroupController::noteStoreRestored() {
+  if (!Stopping)
+    stepLease();
+}
+
+TimePoint GroupController::updateEra() {
+  TimePoint Now = Timers.nowWithSuspension();
+  noteStoreEra(Lease, Store.Era ? Store.Era() : 0, Now);
+  return Now;
+}
+
 void GroupController::stepLease() {
-  TimePoint Begun = Timers.nowWithSuspension();
+  TimePoint Begun = updateEra();
   if (!PeersKnown && Timers.now() - StartedAt < Settings.PeersWait)
     return;
   bool First = Peers.isRelayCandidate();
@@ -103,23 +115,22 @@
   if (Holds != HeldDuty) {
     HeldDuty = Holds;
     Metrics.count("duty_changes", "to", Holds ? "held" : "lost");
-    spdlog::info("event=duty state={} term={} renewal={}",
+    spdlog::info("event=duty state={} term={} renewal={} era={}",
                  Holds ? "held" : "lost", Lease.Record.Term,
-                 Lease.Record.Renewal);
+                 Lease.Record.Renewal, Lease.Era);
   }
   DutyStep Step = nextDutyStep(Lease, Begun);
   if (Step.Call == DutyCall::Read)
     Store.Read(DutyKind, DutyName,
                [this](const Outcome<std::optional<StoredObject>> &Answer) {
-                 handleDutyRead(Lease, Answer, Timers.nowWithSuspension());
+                 handleDutyRead(Lease, Answer, updateEra());
                  if (!errorOf(Answer) && !Stopping)
                    stepLease();
                });
   if (Step.Call == DutyCall::Write)
     Store.Write(DutyKind, Step.Object,
                 [this, Begun](const Outcome<StoredObject> &Answer) {
-                  handleDutyWrite(Lease, Answer, Begun,
-                                  Timers.nowWithSuspension());
+                  handleDutyWrite(Lease, Answer, Begun, updateEra());
                   if (!HeldDuty && isDutyHolder()) {
                     Plans.clear();
                     schedulePlan();
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -335,7 +335,10 @@
     unlist(InstanceId(Change.Name));
 }
 
-void ServingEntry::noteStoreRestored() { Peers.setStoreEra(storeEra()); }
+void ServingEntry::noteStoreRestored() {
+  Peers.setStoreEra(storeEra());
+  Groups.noteStoreRestored();
+}
 
 void ServingEntry::noteListRead(const StoreMark &Mark) {
   noteOwnList(Sync, Mark);
--- a/test/Serving/DutyLeaseTest.cpp
+++ b/test/Serving/DutyLeaseTest.cpp
@@ -16,10 +16,12 @@
   return Lease;
 }
 
-// A store of one object with conditional writes.
+// A store of one object with conditional writes, which can be restored from a
+// copy.
 struct OneObject {
   std::int64_t Revision = 0;
   std::string Value;
+  std::int64_t Era = 0;
 
   std::optional<StoredObject> read() const {
     if (Revision == 0)
@@ -39,10 +41,22 @@
 // Executes Lease's next call at Now.
 void step(DutyLease &Lease, OneObject &Store, TimePoint Now) {
   DutyStep Next = nextDutyStep(Lease, Now);
+  if (Next.Call == DutyCall::None)
+    return;
+  Outcome<StoredObject> Written = StoredObject();
+  if (Next.Call == DutyCall::Write)
+    Written = Store.write(Next.Object);
+  noteStoreEra(Lease, Store.Era, Now);
   if (Next.Call == DutyCall::Read)
     handleDutyRead(Lease, Store.read(), Now);
   if (Next.Call == DutyCall::Write)
-    handleDutyWrite(Lease, Store.write(Next.Object), Now, Now);
+    handleDutyWrite(Lease, Written, Now, Now);
+}
+
+// Restores Store from the copy Copy.
+void restore(OneObject &Store, OneObject Copy) {
+  Copy.Era = Store.Era + 1;
+  Store = std::move(Copy);
 }
 
 TEST(DutyLeaseTest, TakesAFreeDutyAtOnce) {
@@ -100,6 +114,92 @@
   EXPECT_TRUE(holdsDuty(Next, Start + milliseconds(600)));
 }
 
+// Guards against two holders that give orders with the same fencing tokens: the
+// record of the first is lost when the store is restored.
+TEST(DutyLeaseTest, GivesNoTermTwiceWhenTheStoreIsRestored) {
+  OneObject Store{0, {}, 1};
+  OneObject Copy = Store; // without a record
+  DutyLease First = lease("a");
+  First.Settings.FirstStart = true;
+  step(First, Store, Start);
+  step(First, Store, Start + milliseconds(200));
+  std::int64_t Lost = First.Record.Term;
+  ASSERT_TRUE(holdsDuty(First, Start + milliseconds(200)));
+  restore(Store, Copy);
+  DutyLease Second = lease("b");
+  TimePoint Now = Start + milliseconds(300);
+  while (!holdsDuty(Second, Now) && Now < Start + seconds(10)) {
+    step(Second, Store, Now);
+    EXPECT_FALSE(holdsDuty(First, Now) && holdsDuty(Second, Now));
+    Now += milliseconds(100);
+  }
+  EXPECT_TRUE(holdsDuty(Second, Now));
+  EXPECT_GT(Second.Record.Term, Lost);
+}
+
+TEST(DutyLeaseTest, GoesOnAsHolderWithAHigherTermWhenTheStoreIsRestored) {
+  OneObject Store{0, {}, 1};
+  DutyLease Lease = lease("a");
+  Lease.Settings.FirstStart = true;
+  step(Lease, Store, Start);
+  OneObject Copy = Store;
+  step(Lease, Store, Start + milliseconds(200));
+  std::int64_t Before = Lease.Record.Term;
+  restore(Store, Copy);
+  noteStoreEra(Lease, Store.Era, Start + milliseconds(400));
+  EXPECT_FALSE(holdsDuty(Lease, Start + milliseconds(400)));
+  step(Lease, Store, Start + milliseconds(400));
+  step(Lease, Store, Start + milliseconds(600));
+  EXPECT_TRUE(holdsDuty(Lease, Start + milliseconds(600)));
+  EXPECT_GT(Lease.Record.Term, Before);
+}
+
+// The store was away before it was restored, so the outcome of the last renewal
+// is unknown.
+TEST(DutyLeaseTest, GoesOnAsHolderAfterARenewalWithoutAnswer) {
+  OneObject Store{0, {}, 1};
+  DutyLease Lease = lease("a");
+  Lease.Settings.FirstStart = true;
+  step(Lease, Store, Start);
+  OneObject Copy = Store;
+  step(Lease, Store, Start + milliseconds(200));
+  TimePoint Now = Start + milliseconds(1'300);
+  ASSERT_EQ(nextDutyStep(Lease, Now).Call, DutyCall::Write);
+  handleDutyWrite(Lease, Error{ResultCode::UnknownWriteOutcome, "lost"}, Now,
+                  Now);
+  restore(Store, Copy);
+  noteStoreEra(Lease, Store.Era, Now + milliseconds(100));
+  step(Lease, Store, Now + milliseconds(100));
+  step(Lease, Store, Now + milliseconds(300));
+  EXPECT_TRUE(holdsDuty(Lease, Now + milliseconds(300)));
+}
+
+// A record that comes back with the copy doesn't make its owner the holder.
+TEST(DutyLeaseTest, WaitsForTheLeaseBeforeItTakesAnOldRecordForItsOwn) {
+  OneObject Store{0, {}, 1};
+  DutyLease Lease = lease("a");
+  Lease.Settings.FirstStart = true;
+  step(Lease, Store, Start);
+  step(Lease, Store, Start + milliseconds(200));
+  OneObject Copy = Store;
+  TimePoint Now =
+      Start + seconds(10); // suspended; another entry holds the duty
+  Store.write({"groups", Store.Revision, encodeDuty({"b", 1'002, 3, 1})});
+  restore(Store, Copy);
+  TimePoint Noted = Now;
+  while (!holdsDuty(Lease, Now) && Now < Start + seconds(30)) {
+    step(Lease, Store, Now);
+    Now += milliseconds(100);
+  }
+  EXPECT_GE(Now - Noted, Lease.Settings.Length);
+  EXPECT_GT(Lease.Record.Term, 1'002);
+}
+
+TEST(DutyLeaseTest, ReadsRecordsOfEarlierReleases) {
+  EXPECT_EQ(decodeDuty(R"({"owner":"a","term":3,"renewal":5})"),
+            (DutyRecord{"a", 3, 5, 0}));
+}
+
 TEST(DutyLeaseTest, ReadsUnreadableValueAsFree) {
   EXPECT_FALSE(decodeDuty("{}"));
   EXPECT_FALSE(decodeDuty("not json"));
@@ -110,28 +210,41 @@
     EXPECT_FALSE(decodeDuty(R"({"owner":"a","term":1,"renewal":)" + Term + "}"))
         << Invalid;
   }
-  EXPECT_EQ(decodeDuty(encodeDuty({"a", 3, 5})), (DutyRecord{"a", 3, 5}));
+  EXPECT_FALSE(decodeDuty(R"({"owner":"a","term":1,"renewal":1,"era":"x"})"));
+  EXPECT_EQ(decodeDuty(encodeDuty({"a", 3, 5, 2})), (DutyRecord{"a", 3, 5, 2}));
 }
 
 // Entries pause, and lose answers or the connection to the store; writes
-// without an answer may take effect. Still no two entries hold the duty at the
-// same time, and terms never decrease.
+// without an answer may take effect; the store may be restored from a copy that
+// is some seconds old. Still no two entries hold the duty at the same time, and
+// terms never decrease and are never given to two entries.
 RC_GTEST_PROP(DutyLeaseTest, HasAtMostOneHolderInAnyHistory, ()) {
   OneObject Store;
+  bool NamesEra = *rc::gen::inRange(0, 3) > 0;
+  Store.Era = NamesEra ? 1 : 0;
+  std::vector<OneObject> Copies{Store};
+  std::map<std::int64_t, std::string> OwnerByTerm;
   std::vector<DutyLease> Leases{lease("a"), lease("b"), lease("c")};
   TimePoint Now = Start;
   std::int64_t HighestTerm = 0;
   for (int Tick = 0; Tick < 300; ++Tick) {
     Now += milliseconds(*rc::gen::inRange(10, 400));
+    if (NamesEra && *rc::gen::inRange(0, 25) == 0) {
+      std::size_t Lost = *rc::gen::inRange<std::size_t>(0, 6);
+      Copies.resize(Copies.size() - std::min(Lost, Copies.size() - 1));
+      restore(Store, Copies.back());
+    }
     DutyLease &Lease = Leases[*rc::gen::inRange<std::size_t>(0, Leases.size())];
     DutyStep Next = nextDutyStep(Lease, Now);
     int Fault = *rc::gen::inRange(0, 10);
     TimePoint Begun = Now;
     if (Next.Call == DutyCall::Read) {
-      if (Fault < 2)
+      if (Fault < 2) {
         handleDutyRead(Lease, Error{ResultCode::Timeout, "lost"}, Now);
-      else
+      } else {
+        noteStoreEra(Lease, Store.Era, Now);
         handleDutyRead(Lease, Store.read(), Now);
+      }
     }
     if (Next.Call == DutyCall::Write) {
       if (Fault == 0) {
@@ -139,9 +252,13 @@
                         Begun, Now);
       } else {
         Outcome<StoredObject> Written = Store.write(Next.Object);
+        if (!errorOf(Written))
+          Copies.push_back(Store);
         Now += milliseconds(*rc::gen::inRange(0, 2'000)); // a late answer
         if (Fault == 1)
           Written = Error{ResultCode::UnknownWriteOutcome, "lost"};
+        else
+          noteStoreEra(Lease, Store.Era, Now);
         handleDutyWrite(Lease, Written, Begun, Now);
       }
     }
@@ -152,6 +269,8 @@
       ++Holders;
       RC_ASSERT(Each.Record.Term >= HighestTerm);
       HighestTerm = Each.Record.Term;
+      auto Given = OwnerByTerm.try_emplace(Each.Record.Term, Each.Self).first;
+      RC_ASSERT(Given->second == Each.Self);
     }
     RC_ASSERT(Holders <= 1);
   }
