Write blamed parts of prompts again when the store was restored

By reading: a blamed part is written once. If the store is restored, the object is lost, so entries in another zone that is cut off and entries that start don't learn of it; and a blame that had been withdrawn comes back. Cause: what was written once is taken to be there, as with the entry's own object.

After a restoration the parts that this entry has written are compared with the store before anything else is written; what is missing or of before is written again. Parts that others have written are left alone, as before.

BlameStoreTest.WritesBlameAgainThatIsLost and WithdrawsBlameAgainThatCameBack failed without the comparison.

--- a/include/samphirehill/Serving/BlameStore.h
+++ b/include/samphirehill/Serving/BlameStore.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace samphirehill::serving {
 
@@ -34,12 +35,19 @@
   // written and that no longer are. One entry among those in contact does so.
   void writeChanges();
 
+  // Records that the store was restored from a copy: what this entry has
+  // written may be lost, or be there in an earlier form.
+  void noteStoreRestored() { Restored = !Parts.empty(); }
+
   // Reads the blamed parts if there are suspicions that they may confirm; at
   // most once a second.
   void readIfSuspecting();
 
 private:
   void write(PromptPart Part);
+  // Reads again which of the parts that this entry has written are there.
+  void readWritten();
+  void compareWritten(const std::vector<StoredObject> &Listed);
 
   struct Written {
     std::int64_t Revision = 0;
@@ -52,6 +60,9 @@
   const ObjectStore &Store;
   PartSuspects &Suspects;
   std::map<PromptPart, Written> Parts;
+  bool Restored = false; // and Parts not compared with the store since
+  bool Comparing = false;
+  TimePoint CompareAt{}; // at the earliest
   bool Reading = false;
   TimePoint LastReadAt{};
   // Callbacks of the store may outlive this object.
--- a/lib/Serving/BlameStore.cpp
+++ b/lib/Serving/BlameStore.cpp
@@ -104,6 +104,8 @@
 }
 
 void BlameStore::writeChanges() {
+  if (Restored)
+    return readWritten();
   std::set<PromptPart> Blamed = blamedParts(Suspects);
   TimePoint Now = Timers.now();
   for (PromptPart Each : Blamed) {
@@ -118,6 +120,37 @@
   }
 }
 
+void BlameStore::readWritten() {
+  if (Comparing || Timers.now() < CompareAt)
+    return;
+  Comparing = true;
+  Restored = false;
+  Store.List(BlameKind, [this, Weak = std::weak_ptr<bool>(Alive)](
+                            const Outcome<std::vector<StoredObject>> &Answer) {
+    if (Weak.expired())
+      return;
+    Comparing = false;
+    if (!errorOf(Answer))
+      return compareWritten(std::get<0>(Answer));
+    Restored = true;
+    CompareAt = Timers.now() + WriteRetryDelay;
+    spdlog::info("event=blame_read_failed reason=\"{}\"",
+                 errorOf(Answer)->Message);
+  });
+}
+
+void BlameStore::compareWritten(const std::vector<StoredObject> &Listed) {
+  std::map<PromptPart, Written> Found;
+  for (const StoredObject &Each : Listed) {
+    std::optional<PromptPart> Part = partOf(Each.Name);
+    if (!Part || !Parts.contains(*Part))
+      continue;
+    SuspectReport Report = decodeBlame(Each, Timers.now(), Timers.wallNow());
+    Found[*Part] = {Each.Revision, !Report.Crashes.empty(), false, {}};
+  }
+  Parts = std::move(Found);
+}
+
 void BlameStore::write(PromptPart Part) {
   Written &Known = Parts[Part];
   Known.Running = true;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -343,6 +343,7 @@
 void ServingEntry::noteStoreRestored() {
   Peers.setStoreEra(storeEra());
   Groups.noteStoreRestored();
+  Blames.noteStoreRestored();
   // This entry's object may be lost, and so may be those of entries that have
   // joined since.
   if (PeersListed)
--- a/test/Serving/BlameStoreTest.cpp
+++ b/test/Serving/BlameStoreTest.cpp
@@ -98,6 +98,36 @@
   blame(Known, Bad);
 }
 
+// Guards against a blame that no newcomer learns of, as it is lost when the
+// store is restored.
+TEST_F(BlameStoreTest, WritesBlameAgainThatIsLost) {
+  blame(Known, Bad);
+  Writer.writeChanges();
+  Objects.clear();
+  Writer.noteStoreRestored();
+  Writer.writeChanges();
+  Writer.writeChanges();
+  suspectOnce(CutOff);
+  Reader.readIfSuspecting();
+  EXPECT_TRUE(isBlamed(CutOff));
+}
+
+TEST_F(BlameStoreTest, WithdrawsBlameAgainThatCameBack) {
+  blame(Known, Bad);
+  Writer.writeChanges();
+  std::map<std::string, StoredObject> Copy = Objects;
+  noteProof(Known, std::vector<PromptPart>{Bad}, Timers.now() + milliseconds(1),
+            Timers.now());
+  Writer.writeChanges();
+  Objects = Copy;
+  Writer.noteStoreRestored();
+  Writer.writeChanges();
+  Writer.writeChanges();
+  suspectOnce(CutOff);
+  Reader.readIfSuspecting();
+  EXPECT_FALSE(isBlamed(CutOff));
+}
+
 TEST_F(BlameStoreTest, LeavesPartAloneThatAnotherEntryHasWritten) {
   Objects["abcdef0123456789"] = {"abcdef0123456789", ++Revision, "{}"};
   blame(Known, Bad);
