Keep what was out of service so until the restored store was written again

By reading: after a restoration the store lacks what operators and instances wrote in the lost seconds until they have written it again. A list read meanwhile takes a zone's evacuation back (EVAC) and shows an instance that leaves as ready (DRAIN). Cause: an absence in the copy is taken for a decision. Class: as before, the copy is read as if it were later than what was known.

Zones that were out stay out for two seconds after the restoration although they are not listed; entries tell each other what is listed, so each holds by itself. A life of an instance that has said that it leaves stays so, also when it was unlisted and is listed again.

--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -22,6 +22,7 @@
 #include "samphirehill/Serving/UpstreamBook.h"
 #include "samphirehill/Serving/UpstreamExchange.h"
 #include "samphirehill/Serving/UpstreamPacing.h"
+#include "samphirehill/Serving/ZonesOut.h"
 
 #include <asio/io_context.hpp>
 #include <functional>
@@ -105,7 +106,7 @@
   void noteListRead(const StoreMark &Mark);
   // Sets the zones out of service as of Mark. Ignores a mark older than that of
   // the zones in force.
-  void setZonesOut(std::set<ZoneId> Zones, const StoreMark &Mark);
+  void setZonesOut(std::set<ZoneId> Listed, const StoreMark &Mark);
   void setZoneOut(const ZoneId &Zone, bool Out, const StoreMark &Mark);
 
   void setPlatformReader(PlatformReader NewReader) {
@@ -176,6 +177,8 @@
   void answerReadiness(const std::shared_ptr<CallerRequest> &Request);
   // Returns the store's era as this entry knows it, or 0.
   std::int64_t storeEra() const { return Reader.Era ? Reader.Era() : 0; }
+  // Takes the zones out of service that are to be so now, and back the others.
+  void updateZonesOut();
   // Reads the store if Report shows that it was restored since this entry read
   // it.
   void followEra(const EntryReport &Report);
@@ -187,6 +190,8 @@
   void applyInstance(const ListedInstance &Changed);
   // Applies the notices of an instance about itself that came with an answer.
   void applyNotices(const InstanceLife &From, const AnswerFacts &Answer);
+  // Returns Changed, leaving if this life of the instance was already so.
+  ListedInstance stillLeaving(ListedInstance Changed) const;
   // Removes an instance that is no longer listed: at once, or after a delay if
   // it was not draining and its replica group still makes progress.
   void unlist(const InstanceId &Id);
@@ -220,7 +225,7 @@
   PlatformReader Reader;
   ListChanges Changes;
   ListSync Sync;
-  StoreMark ZonesOutMark;
+  ZonesOut Zones;
   TimePoint ReachProbedAt{};
   std::string UnreadyCause = "starting"; // as last logged
   PlatformSource Source = PlatformSource::None;
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -316,7 +316,7 @@
     if (!Each.Listed)
       continue;
     Present.insert(Each.Listed->Listed.Id);
-    applyInstance(*Each.Listed);
+    applyInstance(AfterOutage ? stillLeaving(*Each.Listed) : *Each.Listed);
   }
   std::vector<InstanceId> Absent;
   for (const auto &[Id, Record] : Instances.Instances) {
@@ -331,6 +331,19 @@
   }
 }
 
+// A store that was restored from a copy may list an instance as it was before
+// it announced that it leaves.
+ListedInstance ServingEntry::stillLeaving(ListedInstance Changed) const {
+  auto Known = Instances.Instances.find(Changed.Listed.Id);
+  if (Known == Instances.Instances.end())
+    return Changed;
+  const Instance &Before = Known->second.Listed;
+  if (Before.Draining &&
+      Before.BornMilliseconds == Changed.Listed.BornMilliseconds)
+    Changed.Listed.Draining = true;
+  return Changed;
+}
+
 void ServingEntry::applyListChange(const ListChange &Change) {
   if (!recordChange(Changes, Change, Timers.now()))
     return;
@@ -407,35 +420,43 @@
     return;
   spdlog::info("event=instance_unlisted instance={} service={}", Id.str(),
                Found->second.Listed.Service.str());
+  const Instance &Last = Found->second.Listed;
   if (!Found->second.Lapsed)
-    Groups.noteUnlisted(Found->second.Listed);
+    Groups.noteUnlisted(Last);
+  // A store that is restored from a copy may list it again.
+  if (Last.Draining)
+    noteLeaving(Book.Notices, {Id, Last.BornMilliseconds},
+                Timers.nowWithSuspension());
   Instances.Instances.erase(Found);
   scheduleRebuild();
 }
 
-void ServingEntry::setZonesOut(std::set<ZoneId> Zones, const StoreMark &Mark) {
-  if (Mark < ZonesOutMark)
-    return;
-  ZonesOutMark = Mark;
-  if (Zones == Instances.ZonesOut)
+void ServingEntry::setZonesOut(std::set<ZoneId> Listed, const StoreMark &Mark) {
+  if (applyZonesOut(Zones, std::move(Listed), Mark, Timers.now()))
+    updateZonesOut();
+}
+
+void ServingEntry::updateZonesOut() {
+  std::set<ZoneId> InForce = zonesInForce(Zones, Timers.now());
+  if (InForce == Instances.ZonesOut)
     return;
   std::string Names;
-  for (const ZoneId &Each : Zones)
+  for (const ZoneId &Each : InForce)
     Names += (Names.empty() ? "" : ",") + Each.str();
   spdlog::info("event=zones_out zones=\"{}\" era={} revision={}", Names,
-               Mark.Era, Mark.Revision);
-  Instances.ZonesOut = std::move(Zones);
+               Zones.Mark.Era, Zones.Mark.Revision);
+  Instances.ZonesOut = std::move(InForce);
   rebuildUpstreams();
 }
 
 void ServingEntry::setZoneOut(const ZoneId &Zone, bool Out,
                               const StoreMark &Mark) {
-  std::set<ZoneId> Zones = Instances.ZonesOut;
+  std::set<ZoneId> Listed = Zones.Listed;
   if (Out)
-    Zones.insert(Zone);
+    Listed.insert(Zone);
   else
-    Zones.erase(Zone);
-  setZonesOut(std::move(Zones), Mark);
+    Listed.erase(Zone);
+  setZonesOut(std::move(Listed), Mark);
 }
 
 void ServingEntry::applyNotices(const InstanceLife &From,
@@ -537,9 +558,9 @@
   Report.ListDigest = Changes.Digest;
   collectEvidence(Book, Peers.table());
   Report.Reach = Book.Reach.Seen;
-  Report.ZonesOut = Instances.ZonesOut;
+  Report.ZonesOut = Zones.Listed;
   if (Report.ListRevision > 0)
-    Report.ZonesOutMark = ZonesOutMark;
+    Report.ZonesOutMark = Zones.Mark;
   return Report;
 }
 
@@ -670,7 +691,7 @@
       !Peers.isListRelayed())
     return;
   TimePoint Now = Timers.now();
-  if (Report.ZonesOutMark > ZonesOutMark)
+  if (Report.ZonesOutMark > Zones.Mark)
     setZonesOut(Report.ZonesOut, Report.ZonesOutMark);
   bool ListsMatch =
       Report.StoreEra == Changes.Era && Report.ListDigest == Changes.Digest;
@@ -726,6 +747,7 @@
 void ServingEntry::tick() {
   TimePoint Now = Timers.now();
   Peers.setStoreEra(storeEra());
+  updateZonesOut();
   if (Reader.Reconcile)
     Reader.Reconcile();
   updatePlatformSource();
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -344,6 +344,29 @@
 
 // Guards against requests that are passed on late in a planned stop and cut off
 // at its end. The caller waits for 3 s.
+// Guards against requests to an instance that leaves (DRAIN): the restored
+// store lists it as it was before it said so, until it writes that again.
+TEST_F(ServingEntryTest,
+       SendsNothingToLeavingInstanceThatTheRestoredStoreLists) {
+  for (bool Removed : {false, true}) {
+    Instance Ready = plainInstance(
+        Removed ? "gone" : "leaving", "north", [](ScriptedConnection &To, int) {
+          To.send(answer("200 OK\r\nid: r1\r\nseal: s", "x"));
+        });
+    runFor(milliseconds(20));
+    ASSERT_TRUE(succeededWith(post("/safe/"), "x"));
+    Instance Leaving = Ready;
+    Leaving.Draining = true;
+    list(Leaving);
+    if (Removed)
+      list(Leaving, true);
+    ListChange Copied{Ready.Id.str(), 1, false, ListedInstance{Ready, {}}, 2};
+    Entry->replaceList({Copied}, true);
+    runFor(milliseconds(20));
+    EXPECT_FALSE(succeededWith(post("/safe/"), "x")) << Removed;
+  }
+}
+
 TEST_F(ServingEntryTest, RefusesRequestThatMayOutliveTheStop) {
   TimerSubscription AnswerTimer;
   plainInstance("i1", "north", [&](ScriptedConnection &Connection, int) {
