Take the duty again at once when nobody else can have held it

The wait guards against a holder whose record is lost. There can be none if this entry learned of the restoration before anybody could have taken the duty from it, that is within the length of the lease after its last renewal. It may then take the duty at once, unless the record shows that somebody has taken it in the new era.

DutyLeaseTest.TakesTheDutyAtOnceThatLapsedWhileTheStoreWasAway failed before; LeavesTheDutyToAnEntryThatTookItInThePresentEra guards the other side.

--- a/include/samphirehill/Serving/DutyLease.h
+++ b/include/samphirehill/Serving/DutyLease.h
@@ -72,9 +72,9 @@
   std::int64_t HighestTerm = 0; // of which this entry has heard, in any era
   // Until then another entry may hold the duty by a record that is lost.
   TimePoint DoubtUntil{};
-  // Until then this entry may take the duty at once: it held the duty when it
-  // learned that the store was restored.
-  TimePoint RetakeUntil{};
+  // The era in which this entry may take the duty at once, as long as nobody
+  // has taken it: no other entry can have held it when the store was restored.
+  std::int64_t RetakeEra = 0;
 };
 
 enum class DutyCall { None, Read, Write };
--- a/lib/Serving/DutyLease.cpp
+++ b/lib/Serving/DutyLease.cpp
@@ -98,15 +98,18 @@
   if (Era <= Lease.Era)
     return;
   bool IsFirst = Lease.Era == 0;
-  // The lease lasts although the outcome of the last renewal isn't known.
-  bool Held = Lease.Record.Owner == Lease.Self && Now < Lease.HeldUntil;
+  // No other entry takes the duty before this. Where the outcome of the last
+  // renewal isn't known, the one before it counts.
+  bool Held = Lease.HeldUntil != TimePoint{} &&
+              Lease.Record.Owner == Lease.Self &&
+              Now < Lease.HeldUntil + Lease.Settings.Margin;
   Lease.Era = Era;
   // The store may have been restored just before this entry started.
   if (!IsFirst || !Lease.Settings.FirstStart)
     Lease.DoubtUntil = Now + Lease.Settings.Length;
   if (IsFirst)
     return;
-  Lease.RetakeUntil = Held ? Lease.HeldUntil : TimePoint{};
+  Lease.RetakeEra = Held ? Era : 0;
   Lease.HeldUntil = TimePoint{};
   Lease.Known = false;
   Lease.Revision = 0;
@@ -125,9 +128,9 @@
     return beginCall(Lease, makeWrite(Lease, Renewed), Now);
   }
   bool Silent = Now - Lease.LastHolderReportAt >= Settings.HolderSilence;
-  bool Retakes = Now < Lease.RetakeUntil;
+  bool MayRetake = Lease.Era != 0 && Lease.RetakeEra == Lease.Era;
   if (!Lease.Known) {
-    bool TooSoon = SinceCall < (Retakes ? CallPause : Settings.ReadEvery);
+    bool TooSoon = SinceCall < (MayRetake ? CallPause : Settings.ReadEvery);
     if (TooSoon && Lease.LastCallAt != TimePoint{})
       return {};
     return beginCall(Lease, {DutyCall::Read, {}}, Now);
@@ -136,7 +139,7 @@
               Now - Lease.UnchangedSince >= Settings.Length;
   bool Mine = Lease.Record.Owner == Lease.Self;
   bool MayTake = Now >= Lease.DoubtUntil && Silent && (Free || Mine);
-  if (MayTake || Retakes) {
+  if (MayTake || (MayRetake && Lease.Record.Era < Lease.Era)) {
     if (Lease.ReadAt && Now - *Lease.ReadAt <= MaxReadAge)
       return beginCall(Lease, makeWrite(Lease, takeoverOf(Lease)), Now);
     if (SinceCall < CallPause)
--- a/test/Serving/DutyLeaseTest.cpp
+++ b/test/Serving/DutyLeaseTest.cpp
@@ -174,6 +174,40 @@
   EXPECT_TRUE(holdsDuty(Lease, Now + milliseconds(300)));
 }
 
+// Nobody else can have taken the duty before the store was restored, although
+// this entry has stopped acting as the holder.
+TEST(DutyLeaseTest, TakesTheDutyAtOnceThatLapsedWhileTheStoreWasAway) {
+  OneObject Store{0, {}, 1};
+  DutyLease Lease = lease("a");
+  Lease.Settings.FirstStart = true;
+  step(Lease, Store, Start);
+  OneObject Copy = Store;
+  step(Lease, Store, Start + milliseconds(200));
+  restore(Store, Copy);
+  TimePoint Now = Start + milliseconds(3'000);
+  ASSERT_FALSE(holdsDuty(Lease, Now));
+  noteStoreEra(Lease, Store.Era, Now);
+  step(Lease, Store, Now);
+  step(Lease, Store, Now + milliseconds(200));
+  EXPECT_TRUE(holdsDuty(Lease, Now + milliseconds(200)));
+}
+
+TEST(DutyLeaseTest, LeavesTheDutyToAnEntryThatTookItInThePresentEra) {
+  OneObject Store{0, {}, 1};
+  DutyLease Lease = lease("a");
+  Lease.Settings.FirstStart = true;
+  step(Lease, Store, Start);
+  OneObject Copy = Store;
+  step(Lease, Store, Start + milliseconds(200));
+  restore(Store, Copy);
+  Store.write({"groups", 0, encodeDuty({"b", 2'001, 0, 2})});
+  TimePoint Now = Start + milliseconds(1'000);
+  noteStoreEra(Lease, Store.Era, Now);
+  for (int Tick = 0; Tick < 20; ++Tick, Now += milliseconds(100))
+    step(Lease, Store, Now);
+  EXPECT_EQ(Store.Revision, 1);
+}
+
 // A record that comes back with the copy doesn't make its owner the holder.
 TEST(DutyLeaseTest, WaitsForTheLeaseBeforeItTakesAnOldRecordForItsOwn) {
   OneObject Store{0, {}, 1};
