Take complete lists of instances after the platform was restored

LivenessTest.TakesCompleteListOfALowerRevision failed before. Not seen with real processes: the stand-in platform can't restore yet.

--- a/include/samphirehill/Membership/Liveness.h
+++ b/include/samphirehill/Membership/Liveness.h
@@ -51,6 +51,9 @@
 struct InstanceListRead {
   std::uint64_t Revision = 0;
   std::vector<Member> Entries;
+  // The platform has sent all instances, not changes since a revision. Its
+  // revision may be lower than before: the platform was restored from a copy.
+  bool Complete = false;
 };
 
 // Event: a message of any kind arrived from an entry.
--- a/lib/Daemon/MembershipController.cpp
+++ b/lib/Daemon/MembershipController.cpp
@@ -128,6 +128,7 @@
     Instances.erase(Name);
   InstanceListRead Read;
   Read.Revision = List.Revision;
+  Read.Complete = List.Complete;
   for (const auto &[Name, Each] : Instances)
     if (Each.Role == InstanceRole::Entry)
       Read.Entries.push_back(Member{EntryId(Name.str()), Each.Zone,
--- a/lib/Membership/Liveness.cpp
+++ b/lib/Membership/Liveness.cpp
@@ -84,7 +84,7 @@
 
 void apply(LivenessState &State, const InstanceListRead &Event, TimePoint Now,
            Actions &Out) {
-  if (Event.Revision <= State.ListRevision)
+  if (!Event.Complete && Event.Revision <= State.ListRevision)
     return;
   State.ListRevision = Event.Revision;
   bool Changed = false;
--- a/test/Membership/LivenessTest.cpp
+++ b/test/Membership/LivenessTest.cpp
@@ -107,6 +107,19 @@
   EXPECT_EQ(health(State, EntryId("a")), Health::Alive);
 }
 
+// Guards against an entry that ignores all lists after the platform was
+// restored from a copy, until its revisions have passed the old ones.
+TEST(LivenessTest, TakesCompleteListOfALowerRevision) {
+  LivenessState State = stateOf({entry("a")});
+  decide(State, InstanceListRead{9, {entry("a")}}, Start);
+  decide(State, InstanceListRead{4, {entry("c")}}, Start);
+  EXPECT_EQ(members(State), std::vector<Member>{entry("a")});
+  decide(State, InstanceListRead{4, {entry("c")}, true}, Start);
+  EXPECT_EQ(members(State), std::vector<Member>{entry("c")});
+  decide(State, InstanceListRead{5, {entry("d")}}, Start);
+  EXPECT_EQ(members(State), std::vector<Member>{entry("d")});
+}
+
 // Guards against a new instance that counts as gone because the instance list
 // lags, and against an unlisted instance that is never removed.
 TEST(LivenessTest, KeepsUnlistedPeerWhileMessagesArrive) {
