Show that a call may run twice when its record is lost

A copy that the platform's store is restored from lacks the records of its last seconds. The own door then runs a call again whose record was among them, with the owner of the shard alive (it takes the older object over) and after its restart.

--- a/test/Idempotency/ShardHistoryTest.cpp
+++ b/test/Idempotency/ShardHistoryTest.cpp
@@ -71,6 +71,35 @@
       }
 }
 
+// Guards against a call that runs twice because its record is lost when the
+// platform's store is restored from a copy, with the owner alive or not.
+class ShardRestoredStoreTest : public testing::TestWithParam<bool> {};
+
+TEST_P(ShardRestoredStoreTest, RunsNoCallTwice) {
+  ShardSimulation Simulation(ShardFault::None);
+  Simulation.request("k1", 0);
+  Simulation.deliverOldest(2'000);
+  Simulation.copyStore();
+  Simulation.request("k0", 0);
+  Simulation.deliverOldest(2'000);
+  ASSERT_EQ(Simulation.executions(), 2u);
+  Simulation.restoreStore();
+  if (GetParam())
+    Simulation.restart(0);
+  for (std::size_t Entry : {0, 1, 2}) {
+    Simulation.request("k0", Entry);
+    Simulation.deliverOldest(2'000);
+  }
+  Simulation.heal();
+  EXPECT_EQ(Simulation.violation(), "");
+  EXPECT_EQ(Simulation.executions(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Owner, ShardRestoredStoreTest, testing::Bool(),
+                         [](const auto &Info) {
+                           return Info.param ? "Restarted" : "Alive";
+                         });
+
 // Guards against a simulation in which no calls run, so that no guarantee can
 // be violated.
 TEST(ShardHistoryTest, RunsAndReplaysCallsInHistories) {
--- a/test/Idempotency/ShardSimulation.h
+++ b/test/Idempotency/ShardSimulation.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace samphirehill {
@@ -45,6 +46,10 @@
   void resume(std::size_t Entry);
   // Replaces the process of Entry by a new incarnation with empty memory.
   void restart(std::size_t Entry);
+  // Takes a copy of the store, and restores the store from it: what was written
+  // since is gone.
+  void copyStore() { Copy = {Version, LastWriteId, Stored}; }
+  void restoreStore() { std::tie(Version, LastWriteId, Stored) = Copy; }
   // Ends outages and pauses, delivers all messages, and checks that every entry
   // answers a request again.
   void heal();
@@ -117,6 +122,7 @@
   std::uint64_t Version = 1;
   std::string LastWriteId;
   ShardObject Stored;
+  std::tuple<std::uint64_t, std::string, ShardObject> Copy;
   bool Outage = false;
   std::size_t Replays = 0;
   Incarnation NextIncarnation = 1;
