Keep the later state of an instance that the restored store lists as it was

The list after an outage or a restoration now changes no instance to an earlier life, and makes none warm sooner than was known.

ServingEntryTest.KeepsInstanceColdThatTheRestoredStoreListsAsWarm failed with that taken out (both cases).

--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -27,6 +27,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -127,6 +128,9 @@
     return Peers.usesRelays() && !Peers.isRelayCandidate();
   }
 
+  // Returns what is known of an instance, if it is listed.
+  std::optional<InstanceRecord> instance(const InstanceId &Id) const;
+
   // Returns whether this entry holds the group duty: the lease under which one
   // entry at a time manages the replica groups.
   bool holdsDuty() const { return Groups.isDutyHolder(); }
@@ -190,8 +194,9 @@
   void applyInstance(const ListedInstance &Changed);
   // Applies the notices of an instance about itself that came with an answer.
   void applyNotices(const InstanceLife &From, const AnswerFacts &Answer);
-  // Returns Changed, leaving if this life of the instance was already so.
-  ListedInstance stillLeaving(ListedInstance Changed) const;
+  // Returns Copied, which may be of an earlier time, with what this entry knows
+  // of the instance's state since.
+  ListedInstance withLaterState(ListedInstance Copied) const;
   // Removes an instance that is no longer listed: at once, or after a delay if
   // it was not draining and its replica group still makes progress.
   void unlist(const InstanceId &Id);
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -316,7 +316,7 @@
     if (!Each.Listed)
       continue;
     Present.insert(Each.Listed->Listed.Id);
-    applyInstance(AfterOutage ? stillLeaving(*Each.Listed) : *Each.Listed);
+    applyInstance(AfterOutage ? withLaterState(*Each.Listed) : *Each.Listed);
   }
   std::vector<InstanceId> Absent;
   for (const auto &[Id, Record] : Instances.Instances) {
@@ -331,17 +331,30 @@
   }
 }
 
-// A store that was restored from a copy may list an instance as it was before
-// it announced that it leaves.
-ListedInstance ServingEntry::stillLeaving(ListedInstance Changed) const {
-  auto Known = Instances.Instances.find(Changed.Listed.Id);
+// A store that was restored from a copy may list an instance as it was earlier:
+// in an earlier life, before it announced that it leaves, or before it turned
+// cold.
+ListedInstance ServingEntry::withLaterState(ListedInstance Copied) const {
+  auto Known = Instances.Instances.find(Copied.Listed.Id);
   if (Known == Instances.Instances.end())
-    return Changed;
-  const Instance &Before = Known->second.Listed;
-  if (Before.Draining &&
-      Before.BornMilliseconds == Changed.Listed.BornMilliseconds)
-    Changed.Listed.Draining = true;
-  return Changed;
+    return Copied;
+  const InstanceRecord &Record = Known->second;
+  Duration ColdFor =
+      std::max(Record.ColdUntil - Timers.now(), Duration::zero());
+  if (Copied.Listed.BornMilliseconds < Record.Listed.BornMilliseconds)
+    return {Record.Listed, ColdFor};
+  if (Copied.Listed.BornMilliseconds > Record.Listed.BornMilliseconds)
+    return Copied;
+  Copied.Listed.Draining = Copied.Listed.Draining || Record.Listed.Draining;
+  Copied.ColdFor = std::max(Copied.ColdFor, ColdFor);
+  return Copied;
+}
+
+std::optional<InstanceRecord>
+ServingEntry::instance(const InstanceId &Id) const {
+  auto Known = Instances.Instances.find(Id);
+  return Known == Instances.Instances.end() ? std::nullopt
+                                            : std::optional(Known->second);
 }
 
 void ServingEntry::applyListChange(const ListChange &Change) {
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -367,6 +367,25 @@
   }
 }
 
+// Guards against too many requests to a cold instance (FAILBACK): the restored
+// store lists it as it was in its earlier life, or before it turned cold.
+TEST_F(ServingEntryTest, KeepsInstanceColdThatTheRestoredStoreListsAsWarm) {
+  for (bool Restarted : {false, true}) {
+    Instance Warm = plainInstance(Restarted ? "restarted" : "cold", "north",
+                                  [](ScriptedConnection &, int) {});
+    Instance Cold = Warm;
+    Cold.BornMilliseconds = Restarted ? 2 : 1;
+    Entry->applyListChange({Cold.Id.str(), ++Revision, false,
+                            ListedInstance{Cold, seconds(5)}, 1});
+    ListChange Copied{Warm.Id.str(), 1, false, ListedInstance{Warm, {}}, 2};
+    Entry->replaceList({Copied}, true);
+    std::optional<InstanceRecord> Known = Entry->instance(Warm.Id);
+    ASSERT_TRUE(Known);
+    EXPECT_EQ(Known->Listed.BornMilliseconds, Cold.BornMilliseconds);
+    EXPECT_GT(Known->ColdUntil, Timers.now() + seconds(4));
+  }
+}
+
 TEST_F(ServingEntryTest, RefusesRequestThatMayOutliveTheStop) {
   TimerSubscription AnswerTimer;
   plainInstance("i1", "north", [&](ScriptedConnection &Connection, int) {
