Keep known states of instances only against a restored list

What is known stays only where the list is of a later era than the one before. The test restores the list that way.

--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -310,13 +310,14 @@
 
 void ServingEntry::replaceList(const std::vector<ListChange> &All,
                                bool AfterOutage) {
+  bool Restored = Changes.Era != 0 && storeEra() > Changes.Era;
   serving::replaceList(Changes, All, storeEra(), Timers.now());
   std::set<InstanceId> Present;
   for (const ListChange &Each : All) {
     if (!Each.Listed)
       continue;
     Present.insert(Each.Listed->Listed.Id);
-    applyInstance(AfterOutage ? withLaterState(*Each.Listed) : *Each.Listed);
+    applyInstance(Restored ? withLaterState(*Each.Listed) : *Each.Listed);
   }
   std::vector<InstanceId> Absent;
   for (const auto &[Id, Record] : Instances.Instances) {
--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -81,6 +81,23 @@
         {Listed.Id.str(), ++Revision, Removed, ListedInstance{Listed, {}}});
   }
 
+  // Has the store restored from a copy in which the list holds Copied only.
+  void restoreList(const Instance &Copied) {
+    auto Era = std::make_shared<std::int64_t>(1);
+    PlatformReader Reader;
+    Reader.Era = [Era] { return *Era; };
+    Entry->setPlatformReader(Reader);
+    std::optional<InstanceRecord> Known = Entry->instance(Copied.Id);
+    std::vector<ListChange> Before;
+    if (Known)
+      Before.push_back({Copied.Id.str(), Revision, false,
+                        ListedInstance{Known->Listed, seconds(5)}, *Era});
+    Entry->replaceList(Before, false);
+    ++*Era;
+    Entry->replaceList(
+        {{Copied.Id.str(), 1, false, ListedInstance{Copied, {}}, *Era}}, true);
+  }
+
   // Adds an instance of the plain service to the list, which answers according
   // to Script.
   Instance plainInstance(const std::string &Id, const std::string &Zone,
@@ -360,8 +377,7 @@
     list(Leaving);
     if (Removed)
       list(Leaving, true);
-    ListChange Copied{Ready.Id.str(), 1, false, ListedInstance{Ready, {}}, 2};
-    Entry->replaceList({Copied}, true);
+    restoreList(Ready);
     runFor(milliseconds(20));
     EXPECT_FALSE(succeededWith(post("/safe/"), "x")) << Removed;
   }
@@ -375,10 +391,8 @@
                                   [](ScriptedConnection &, int) {});
     Instance Cold = Warm;
     Cold.BornMilliseconds = Restarted ? 2 : 1;
-    Entry->applyListChange({Cold.Id.str(), ++Revision, false,
-                            ListedInstance{Cold, seconds(5)}, 1});
-    ListChange Copied{Warm.Id.str(), 1, false, ListedInstance{Warm, {}}, 2};
-    Entry->replaceList({Copied}, true);
+    list(Cold);
+    restoreList(Warm);
     std::optional<InstanceRecord> Known = Entry->instance(Warm.Id);
     ASSERT_TRUE(Known);
     EXPECT_EQ(Known->Listed.BornMilliseconds, Cold.BornMilliseconds);
