--- a/bench/copies/play.py
+++ b/bench/copies/play.py
@@ -31,7 +31,6 @@
 from standins import Engine, Entry, Store, now  # noqa: E402
 
 
-
 def load_group_engines():
     """Returns the module of the review's first case, which has engines that
     form groups. The module plays its case when it is loaded; not here."""
@@ -178,10 +177,9 @@
         await asyncio.sleep(self.work_s * random.uniform(0.2, 2.0))
         answer = self.answer_to(line, ident)
         for moment, data in copies:
-            if moment == "with":
-                answer = data + answer
-            elif moment == "behind":
-                answer = answer + data
+            if moment == "before":
+                continue  # written and counted above
+            answer = data + answer if moment == "with" else answer + data
             self.note_copy()
         writer.write(answer)
 
