--- a/test/Serving/ServingEntryTest.cpp
+++ b/test/Serving/ServingEntryTest.cpp
@@ -359,8 +359,6 @@
   EXPECT_EQ(Engines[0]->requests(), 0);
 }
 
-// Guards against requests that are passed on late in a planned stop and cut off
-// at its end. The caller waits for 3 s.
 // Guards against requests to an instance that leaves (DRAIN): the restored
 // store lists it as it was before it said so, until it writes that again.
 TEST_F(ServingEntryTest,
@@ -400,6 +398,8 @@
   }
 }
 
+// Guards against requests that are passed on late in a planned stop and cut off
+// at its end. The caller waits for 3 s.
 TEST_F(ServingEntryTest, RefusesRequestThatMayOutliveTheStop) {
   TimerSubscription AnswerTimer;
   plainInstance("i1", "north", [&](ScriptedConnection &Connection, int) {
