--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")"
 python3 - <<'CHECK'
 import pathlib
-for path in [*pathlib.Path("stand-ins-2").glob("*.py"), *pathlib.Path(".").glob("*/case.py")]:
+for path in [*pathlib.Path("stand-ins-2").glob("*.py"), pathlib.Path("standins.py"),
+             *pathlib.Path(".").glob("*/case.py")]:
     compile(path.read_text(encoding="utf-8"), str(path), "exec")
 CHECK
