--- a/review/10/case.py
+++ b/review/10/case.py
@@ -4,8 +4,8 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "stand-ins-2"))
-from parts import (TROUBLE, Caller, Entry, Instance, Store, configuration, route,
+sys.path.insert(0, os.path.join(FOLDER, ".."))
+from parts_2 import (TROUBLE, Caller, Entry, Instance, Store, configuration, route,
                    run_case)
 
 LARGE = 32_768
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,9 +4,9 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "stand-ins-2"))
-from parts import TROUBLE, Caller, Entry, Store, now, run_case
-from engines import Engine, pool_configuration
+sys.path.insert(0, os.path.join(FOLDER, ".."))
+from parts_2 import TROUBLE, Caller, Entry, Store, now, run_case
+from engines_2 import Engine, pool_configuration
 
 ENGINES = 10  # a domain of 8 and two more: two groups of 4 and two spares
 CALLERS = 6  # at each entry
--- a/review/stand-ins-2/engines.py
+++ b/review/engines_2.py
@@ -2,7 +2,7 @@
 import asyncio
 import json
 
-from parts import Instance, message, now, read_body, read_head
+from parts_2 import Instance, message, now, read_body, read_head
 
 BEAT_S = 1.2  # heartbeat_ms
 
--- a/review/stand-ins-2/parts.py
+++ b/review/parts_2.py
@@ -17,7 +17,7 @@
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 PROGRAM = os.path.join(ROOT, "target", "samphirehilld-platform")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
