Keep requests that crash upstreams in the platform's store

Cause: the record of crashing requests lived only in processes that can all end together. Fix: the entry that sees the break-off writes the refused request to the store, the first entry does so for one that has ended, and entries read it before they are ready. Expired ones are removed, bounded by 64 an entry. Requests that broke off at one moment only are not kept, so a power loss of engines leaves sound requests alone on new entries. Ruled out: longer sharing between entries (none is left), refusal after fewer break-offs. Price: four calls for a refused request, one list for each start of an entry.

--- a/include/samphirehill/Core/Time.h
+++ b/include/samphirehill/Core/Time.h
@@ -2,6 +2,7 @@
 #ifndef SAMPHIREHILL_CORE_TIME_H
 #define SAMPHIREHILL_CORE_TIME_H
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -37,6 +38,23 @@
   return std::chrono::seconds(Value);
 }
 
+// Returns the wall-clock time of At as Unix milliseconds.
+constexpr std::int64_t toWallMilliseconds(TimePoint At, TimePoint Now,
+                                          WallTime WallNow) {
+  return toMilliseconds(WallNow.time_since_epoch() - (Now - At));
+}
+
+// Returns the instant of this process's clock at a wall-clock time, given as
+// Unix milliseconds; not in the future, and an instant of MaxAge if it is older
+// than that.
+constexpr TimePoint fromWallMilliseconds(std::int64_t Milliseconds,
+                                         Duration MaxAge, TimePoint Now,
+                                         WallTime WallNow) {
+  std::int64_t WallMs = toMilliseconds(WallNow.time_since_epoch());
+  std::int64_t Oldest = WallMs - toMilliseconds(MaxAge);
+  return Now - milliseconds(WallMs - std::clamp(Milliseconds, Oldest, WallMs));
+}
+
 } // namespace samphirehill
 
 #endif // SAMPHIREHILL_CORE_TIME_H
--- a/include/samphirehill/Serving/CrashRecord.h
+++ b/include/samphirehill/Serving/CrashRecord.h
@@ -25,10 +25,22 @@
   std::uint64_t Request = 0;  // its fingerprint
   std::uint64_t Upstream = 0; // hash of the upstream's incarnation
   TimePoint SeenAt{};
+  // The request was sent to the upstream after it was known to have broken off
+  // at another one. Upstreams that are lost at the same moment for another
+  // reason break off requests that are not.
+  bool Resent = false;
 
   bool operator==(const BreakOff &) const = default;
 };
 
+// What is kept of a break-off.
+struct SeenBreakOff {
+  TimePoint At{};
+  bool Resent = false;
+
+  bool operator==(const SeenBreakOff &) const = default;
+};
+
 struct CrashRecord {
   // A request is refused after break-offs of this many distinct upstream
   // incarnations. The operators bound the upstreams lost after the third.
@@ -40,8 +52,8 @@
   std::uint64_t Dropped = 0; // requests that have made room so far
   // Refused requests in one report, those with the latest break-offs.
   std::size_t MaxReported = 64;
-  // Time of the first break-off, by request and upstream.
-  std::unordered_map<std::uint64_t, std::map<std::uint64_t, TimePoint>>
+  // The first break-off, by request and upstream.
+  std::unordered_map<std::uint64_t, std::map<std::uint64_t, SeenBreakOff>>
       BreakOffs;
   std::vector<BreakOff> Recent; // of this entry, to report to other entries
 };
@@ -54,6 +66,15 @@
 // Returns whether Request, a fingerprint, may be sent to an upstream.
 bool mayRun(const CrashRecord &Record, std::uint64_t Request, TimePoint Now);
 
+// Returns whether Request is known to have broken off at an upstream.
+bool hasBrokenOff(const CrashRecord &Record, std::uint64_t Request,
+                  TimePoint Now);
+
+// Returns the requests that are refused now and were sent again after a
+// break-off, those with the latest break-offs first; at most MaxReported.
+std::vector<std::uint64_t> resentAndRefused(const CrashRecord &Record,
+                                            TimePoint Now);
+
 // Returns the requests that are refused now, with their break-offs, as far as
 // one report holds them.
 std::vector<BreakOff> refusedBreakOffs(const CrashRecord &Record,
--- a/include/samphirehill/Serving/ObjectStore.h
+++ b/include/samphirehill/Serving/ObjectStore.h
@@ -44,6 +44,12 @@
   std::function<void(const std::string &Kind, const StoredObject &Object,
                      std::function<void(Outcome<StoredObject>)> Done)>
       Write;
+  // Removes an object if its revision in the store is still Object.Revision.
+  // Passes the error to Done, if any: Conflict if the revision is another one,
+  // NotFound if the object doesn't exist.
+  std::function<void(const std::string &Kind, const StoredObject &Object,
+                     std::function<void(std::optional<Error>)> Done)>
+      Remove;
 };
 
 } // namespace samphirehill::serving
--- a/include/samphirehill/Serving/RequestFlow.h
+++ b/include/samphirehill/Serving/RequestFlow.h
@@ -81,6 +81,8 @@
   // Called when Suspects holds news that the other entries need at once: a
   // crash, or that a part which was suspected is sound.
   std::function<void()> OnSuspectNews;
+  // Called when a request has broken off, with its fingerprint.
+  std::function<void(std::uint64_t Request)> OnBreakOff;
 };
 
 class RequestFlow;
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -11,6 +11,7 @@
 #include "samphirehill/Serving/BlameStore.h"
 #include "samphirehill/Serving/CallerServer.h"
 #include "samphirehill/Serving/CrashRecord.h"
+#include "samphirehill/Serving/CrashStore.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/GroupController.h"
 #include "samphirehill/Serving/ObjectStore.h"
@@ -161,6 +162,12 @@
   // Exchanges blamed parts of prompts through the store with entries that no
   // report reaches.
   void exchangeBlames();
+  // Returns whether this entry is the first of those in contact, which writes
+  // to the store what all of them know.
+  bool isFirstInContact() const;
+  // Returns whether callers may still arrive before this entry knows which
+  // requests crash upstreams.
+  bool awaitsCrashRecords() const;
   // Logs that break-offs have made room for others, if they have.
   void logDroppedBreakOffs();
   // Returns whether reports arrive from all zones that have entries.
@@ -212,12 +219,14 @@
   UpstreamBook Book;
   RetryShare Retries;
   CrashRecord Crashes;
+  CrashStore KeptCrashes;
   std::uint64_t LoggedDropped = 0; // of Crashes.Dropped
   PartSuspects Suspects;
   BlameStore Blames;
   std::set<PromptPart> BlamedParts; // as last logged
   ShownPaces Paces;
   std::shared_ptr<const Configuration> Config;
+  TimePoint ConfiguredAt{}; // the first configuration came into force
   RequestFlows Flows;
   CallerServer Callers;
   CallerServer Readiness;
--- a/lib/Serving/BlameStore.cpp
+++ b/lib/Serving/BlameStore.cpp
@@ -16,17 +16,7 @@
 constexpr Duration WriteRetryDelay = seconds(1);
 // Bounds what is taken from one object.
 constexpr std::size_t MaxCrashesRead = 16;
-
-std::int64_t wallMilliseconds(TimePoint At, TimePoint Now, WallTime WallNow) {
-  return toMilliseconds(WallNow.time_since_epoch() - (Now - At));
-}
-
-// Returns the point in time of this process's clock; not in the future.
-TimePoint fromWall(std::int64_t Milliseconds, TimePoint Now, WallTime WallNow) {
-  Duration Age = std::chrono::duration_cast<Duration>(
-      WallNow.time_since_epoch() - milliseconds(Milliseconds));
-  return Now - std::max(Age, Duration::zero());
-}
+constexpr Duration MaxAgeRead = std::chrono::hours(24);
 
 std::optional<PromptPart> partOf(const std::string &Name) {
   PromptPart Part = 0;
@@ -61,12 +51,12 @@
                          {"domain", Known == Suspects.Crashes.end()
                                         ? std::string()
                                         : Known->second.Crash.Domain},
-                         {"at_ms", wallMilliseconds(At, Now, WallNow)}});
+                         {"at_ms", toWallMilliseconds(At, Now, WallNow)}});
     }
     Value["trials"] = Found->second.Trials.Count;
     if (Found->second.Trials.Count > 0)
       Value["last_trial_ms"] =
-          wallMilliseconds(Found->second.Trials.LastAt, Now, WallNow);
+          toWallMilliseconds(Found->second.Trials.LastAt, Now, WallNow);
   }
   Value["crashes"] = std::move(Crashes);
   return Value.dump();
@@ -87,7 +77,8 @@
         {{UpstreamId(Each["engine"].get<std::string>()),
           BootId(Each["boot"].get<std::string>())},
          Each["domain"].get<std::string>(),
-         fromWall(Each["at_ms"].get<std::int64_t>(), Now, WallNow),
+         fromWallMilliseconds(Each["at_ms"].get<std::int64_t>(), MaxAgeRead,
+                              Now, WallNow),
          {{*Part}}});
   }
   if (Report.Crashes.empty() || !Value.contains("trials") ||
@@ -99,7 +90,8 @@
   if (unsigned Trials = std::min(Value["trials"].get<unsigned>(), MaxTrials))
     Report.Trials.push_back(
         {*Part, static_cast<int>(Trials),
-         fromWall(Value["last_trial_ms"].get<std::int64_t>(), Now, WallNow)});
+         fromWallMilliseconds(Value["last_trial_ms"].get<std::int64_t>(),
+                              MaxAgeRead, Now, WallNow)});
   return Report;
 }
 
--- a/lib/Serving/CrashRecord.cpp
+++ b/lib/Serving/CrashRecord.cpp
@@ -9,24 +9,43 @@
 namespace samphirehill::serving {
 namespace {
 
-using BreakOffTimes = std::map<std::uint64_t, TimePoint>; // by upstream
+using SeenBreakOffs = std::map<std::uint64_t, SeenBreakOff>; // by upstream
 
-TimePoint lastOf(const BreakOffTimes &Times) {
+TimePoint lastOf(const SeenBreakOffs &Seen) {
   TimePoint Last{};
-  for (const auto &[Upstream, SeenAt] : Times)
-    Last = std::max(Last, SeenAt);
+  for (const auto &[Upstream, Each] : Seen)
+    Last = std::max(Last, Each.At);
   return Last;
 }
 
-bool isRefused(const CrashRecord &Record, const BreakOffTimes &Times,
+bool isRefused(const CrashRecord &Record, const SeenBreakOffs &Seen,
                TimePoint Now) {
-  auto Counted =
-      std::count_if(Times.begin(), Times.end(), [&](const auto &Seen) {
-        return Now - Seen.second < Record.Retention;
-      });
+  auto Counted = std::count_if(Seen.begin(), Seen.end(), [&](const auto &Each) {
+    return Now - Each.second.At < Record.Retention;
+  });
   return Counted >= Record.MaxBreakOffs;
 }
 
+// Returns the refused requests that fit into a report, the latest first.
+std::vector<std::uint64_t> refusedRequests(const CrashRecord &Record,
+                                           bool ResentOnly, TimePoint Now) {
+  std::vector<std::pair<TimePoint, std::uint64_t>> Refused;
+  for (const auto &[Request, Seen] : Record.BreakOffs) {
+    bool Resent = std::any_of(Seen.begin(), Seen.end(), [](const auto &Each) {
+      return Each.second.Resent;
+    });
+    if (isRefused(Record, Seen, Now) && (Resent || !ResentOnly))
+      Refused.emplace_back(lastOf(Seen), Request);
+  }
+  std::sort(Refused.rbegin(), Refused.rend());
+  if (Refused.size() > Record.MaxReported)
+    Refused.resize(Record.MaxReported);
+  std::vector<std::uint64_t> Requests;
+  for (const auto &[Last, Request] : Refused)
+    Requests.push_back(Request);
+  return Requests;
+}
+
 void makeRoom(CrashRecord &Record) {
   auto Rank = [](const auto &Request) {
     return std::pair(Request.second.size(), lastOf(Request.second));
@@ -50,8 +69,8 @@
   if (Record.BreakOffs.size() >= Record.MaxRequests &&
       !Record.BreakOffs.contains(Observed.Request))
     makeRoom(Record);
-  Record.BreakOffs[Observed.Request].emplace(Observed.Upstream,
-                                             Observed.SeenAt);
+  Record.BreakOffs[Observed.Request].emplace(
+      Observed.Upstream, SeenBreakOff{Observed.SeenAt, Observed.Resent});
 }
 
 void noteOwnBreakOff(CrashRecord &Record, const BreakOff &Observed) {
@@ -65,20 +84,24 @@
          !isRefused(Record, Found->second, Now);
 }
 
+bool hasBrokenOff(const CrashRecord &Record, std::uint64_t Request,
+                  TimePoint Now) {
+  auto Found = Record.BreakOffs.find(Request);
+  return Found != Record.BreakOffs.end() &&
+         Now - lastOf(Found->second) < Record.Retention;
+}
+
+std::vector<std::uint64_t> resentAndRefused(const CrashRecord &Record,
+                                            TimePoint Now) {
+  return refusedRequests(Record, true, Now);
+}
+
 std::vector<BreakOff> refusedBreakOffs(const CrashRecord &Record,
                                        TimePoint Now) {
-  std::vector<std::pair<TimePoint, std::uint64_t>> Refused;
-  for (const auto &[Request, Times] : Record.BreakOffs) {
-    if (isRefused(Record, Times, Now))
-      Refused.emplace_back(lastOf(Times), Request);
-  }
-  std::sort(Refused.rbegin(), Refused.rend());
-  if (Refused.size() > Record.MaxReported)
-    Refused.resize(Record.MaxReported);
   std::vector<BreakOff> Report;
-  for (const auto &[Last, Request] : Refused) {
-    for (const auto &[Upstream, SeenAt] : Record.BreakOffs.at(Request))
-      Report.push_back({Request, Upstream, SeenAt});
+  for (std::uint64_t Request : refusedRequests(Record, false, Now)) {
+    for (const auto &[Upstream, Seen] : Record.BreakOffs.at(Request))
+      Report.push_back({Request, Upstream, Seen.At, Seen.Resent});
   }
   return Report;
 }
@@ -99,9 +122,10 @@
     return Now - Own.SeenAt > ReportTime;
   });
   std::erase_if(Record.BreakOffs, [&](const auto &Request) {
-    return std::all_of(
-        Request.second.begin(), Request.second.end(),
-        [&](const auto &Seen) { return Now - Seen.second > Record.Retention; });
+    return std::all_of(Request.second.begin(), Request.second.end(),
+                       [&](const auto &Seen) {
+                         return Now - Seen.second.At > Record.Retention;
+                       });
   });
 }
 
--- a/lib/Serving/EntryReport.cpp
+++ b/lib/Serving/EntryReport.cpp
@@ -228,6 +228,7 @@
     Added.set_upstream(Each.Upstream);
     Added.set_age_ms(
         static_cast<std::uint32_t>(toMilliseconds(Now - Each.SeenAt)));
+    Added.set_resent(Each.Resent);
   }
   for (const InstanceId &Each : Report.Reached)
     State.add_reached(Each.str());
@@ -292,8 +293,9 @@
         decodePace(Each)};
   }
   for (const wire::BreakOff &Each : State.break_offs())
-    Report.BreakOffs.push_back(
-        {Each.request(), Each.upstream(), Now - milliseconds(Each.age_ms())});
+    Report.BreakOffs.push_back({Each.request(), Each.upstream(),
+                                Now - milliseconds(Each.age_ms()),
+                                Each.resent()});
   for (const std::string &Each : State.reached())
     Report.Reached.insert(InstanceId(Each));
   for (const std::string &Each : State.asked())
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -377,6 +377,7 @@
     State = FlowState::Sent;
     moveTo(Owner.Shares, Claim, ClaimPhase::Holding);
     AttemptStart = LastProgressAt = now();
+    Resent = hasBrokenOff(shared().Crashes, Fingerprint, AttemptStart);
     ++Attempts;
     HeadSeen = false;
     Collected = {};
@@ -729,11 +730,17 @@
     // This side has closed the connection of an unusable answer, so that is no
     // sign of a crash.
     if (Kind == ExchangeFailure::Broken)
-      noteOwnBreakOff(shared().Crashes,
-                      {Fingerprint, upstreamHash(Key), now()});
+      noteBroken(Key);
     retryBroken("broken");
   }
 
+  void noteBroken(const UpstreamKey &Key) {
+    noteOwnBreakOff(shared().Crashes,
+                    {Fingerprint, upstreamHash(Key), now(), Resent});
+    if (shared().OnBreakOff)
+      shared().OnBreakOff(Fingerprint);
+  }
+
   // Has the owner find out whether the engine Key has crashed. Ran: this
   // request may have run there.
   void checkCrash(const UpstreamKey &Key, bool Ran) {
@@ -972,6 +979,7 @@
   int Runs = 0; // ended attempts that may have run, without a usable answer
   bool ReachedUpstream = false; // an attempt has reached an upstream
   bool MayHaveRun = false;
+  bool Resent = false; // this attempt began after a break-off of the request
   bool HeadSeen = false;
   bool AwaitsFirst = false;   // this attempt has received no event yet
   bool HeadForwarded = false; // to the caller; its stream has begun
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -52,6 +52,9 @@
 constexpr Duration GraceMargin = milliseconds(700);
 // Time in which the last answers are written.
 constexpr Duration StopFlushTime = milliseconds(150);
+// An entry that has its first configuration serves without the records of
+// crashes after this, as the store may answer only some calls.
+constexpr Duration CrashRecordsWait = seconds(2);
 // Number of entries assumed until the other entries are known: an entry then
 // uses only a small share of the limits that all entries share.
 constexpr int AssumedEntries = 64;
@@ -153,6 +156,7 @@
                            const ServingSettings &Settings, Adapter Platform)
     : Timers(Timers), Pool(Pool), Settings(Settings),
       Platform(std::move(Platform)), Metrics(Metrics),
+      KeptCrashes(Timers, this->Platform.Store, Crashes, Metrics),
       Blames(Timers, this->Platform.Store, Suspects),
       Flows(FlowShared{
                 Timers, Pool, Book, Retries, Crashes, Suspects, Metrics,
@@ -160,7 +164,10 @@
                 [this](const InstanceLife &From, const AnswerFacts &Answer) {
                   applyNotices(From, Answer);
                 },
-                [this] { Peers.sendSoon(); }},
+                [this] { Peers.sendSoon(); },
+                [this](std::uint64_t Request) {
+                  KeptCrashes.noteOwnBreakOff(Request);
+                }},
             flowSettings(Settings)),
       Callers(Context, Timers, Pool.bytes(),
               [this](std::shared_ptr<CallerRequest> Request) {
@@ -227,6 +234,8 @@
                Settings.FirstStart);
   Groups.start();
   Tick = Timers.every(TickPeriod, [this] { tick(); });
+  if (!Settings.FirstStart)
+    KeptCrashes.readAtStart();
   joinPeers();
   return {};
 }
@@ -300,6 +309,8 @@
   Metrics.set("configuration_version", static_cast<double>(Changed.Version));
   // Upstreams and groups depend only on the services of a configuration.
   bool SameServices = Config && Config->Services == Changed.Services;
+  if (!Config)
+    ConfiguredAt = Timers.now();
   Config = std::make_shared<const Configuration>(std::move(Changed));
   Callers.setLimits(Config->Limits);
   Flows.setConfiguration(Config);
@@ -371,6 +382,7 @@
   Peers.setStoreEra(storeEra());
   Groups.noteStoreRestored();
   Blames.noteStoreRestored();
+  KeptCrashes.noteStoreRestored();
   // This entry's object may be lost, and so may be those of entries that have
   // joined since.
   if (PeersListed)
@@ -611,16 +623,25 @@
       });
 }
 
+bool ServingEntry::isFirstInContact() const {
+  TimePoint Now = Timers.now();
+  return PeersListed && std::none_of(Peers.peers().begin(), Peers.peers().end(),
+                                     [&](const auto &Peer) {
+                                       return Peer.first < Settings.Entry &&
+                                              Now - Peer.second.LastReportAt <
+                                                  PeerSettings{}.MaxReportAge;
+                                     });
+}
+
+bool ServingEntry::awaitsCrashRecords() const {
+  return !Settings.FirstStart && !KeptCrashes.hasRead() &&
+         Timers.now() - ConfiguredAt < CrashRecordsWait;
+}
+
 void ServingEntry::exchangeBlames() {
   if (!PeersListed)
     return;
-  TimePoint Now = Timers.now();
-  bool IsFirst = std::none_of(
-      Peers.peers().begin(), Peers.peers().end(), [&](const auto &Peer) {
-        return Peer.first < Settings.Entry &&
-               Now - Peer.second.LastReportAt < PeerSettings{}.MaxReportAge;
-      });
-  if (IsFirst)
+  if (isFirstInContact())
     Blames.writeChanges();
   bool CutOff = !hearsAllZones();
   if (CutOff)
@@ -771,6 +792,9 @@
   logDroppedBreakOffs();
   expireSuspects(Suspects, Now);
   eraseEndedLives(Book, Now);
+  if (!Settings.FirstStart)
+    KeptCrashes.readAtStart();
+  KeptCrashes.update(isFirstInContact());
   exchangeBlames();
   logBlamedParts();
   refreshLoad();
@@ -805,6 +829,8 @@
     return "stopping";
   if (!Config)
     return "no_configuration";
+  if (awaitsCrashRecords())
+    return "crash_records_not_read";
   if (Book.Upstreams.empty())
     return "no_upstreams";
   return Book.Reach.Taking.Ready ? "" : "zones_cut_off";
--- a/test/Platform/StoreTest.cpp
+++ b/test/Platform/StoreTest.cpp
@@ -332,6 +332,33 @@
   EXPECT_NE(Server.Heads[1].find("\"revision\":7"), std::string::npos);
 }
 
+TEST_F(StoreTest, RemovesAtTheRevision) {
+  struct {
+    int Status;
+    std::optional<ResultCode> Code;
+  } const Cases[] = {{200, std::nullopt},
+                     {404, ResultCode::NotFound},
+                     {409, ResultCode::Conflict},
+                     {503, ResultCode::PlatformUnavailable}};
+  for (const auto &Tested : Cases) {
+    ScriptedServer Server(Context, [&](ScriptedConnection &To, int) {
+      To.send(reply(Tested.Status, {}));
+    });
+    std::optional<std::optional<Error>> Result;
+    objectStore(access(Server))
+        .Remove("things", {"a b", 7, ""},
+                [&](const std::optional<Error> &Failed) { Result = Failed; });
+    ASSERT_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
+    EXPECT_EQ(Server.Heads[0].rfind(
+                  "DELETE /-/objects/things/a%20b?revision=7 HTTP", 0),
+              0u);
+    ASSERT_EQ(Result->has_value(), Tested.Code.has_value()) << Tested.Status;
+    if (Tested.Code) {
+      EXPECT_EQ((*Result)->Code, *Tested.Code);
+    }
+  }
+}
+
 // Guards against a write that seems to be done, or refused, as an earlier one
 // was: answers of the store name no call.
 TEST_F(StoreTest, TakesNoCopyOfAnAnswerForThatOfTheNextWrite) {
--- a/test/Serving/EntryReportTest.cpp
+++ b/test/Serving/EntryReportTest.cpp
@@ -19,7 +19,7 @@
   Report.ConfigurationVersion = 56;
   Report.Loads[{InstanceId("i-1"), 100'001}] = {3, 4'000, 1, 2, {12.5, 2}};
   Report.Loads[{InstanceId("i-2"), 100'002}] = {0, 0, 1, 0};
-  Report.BreakOffs = {{7, 8, TimePoint{seconds(9)}}};
+  Report.BreakOffs = {{7, 8, TimePoint{seconds(9)}, true}};
   Report.DutyTerm = 2;
   Report.DutyRenewal = 5;
   Report.Reached = {InstanceId("i-3")};
