--- a/lib/Serving/CrashRecord.cpp
+++ b/lib/Serving/CrashRecord.cpp
@@ -41,6 +41,7 @@
   if (Refused.size() > Record.MaxReported)
     Refused.resize(Record.MaxReported);
   std::vector<std::uint64_t> Requests;
+  Requests.reserve(Refused.size());
   for (const auto &[Last, Request] : Refused)
     Requests.push_back(Request);
   return Requests;
--- a/lib/Serving/CrashStore.cpp
+++ b/lib/Serving/CrashStore.cpp
@@ -195,8 +195,10 @@
 }
 
 void CrashStore::noteStoreRestored() {
-  for (auto &[Request, Known] : Requests)
-    Known.Revision = Known.Stored = 0;
+  for (auto &[Request, Known] : Requests) {
+    Known.Revision = 0;
+    Known.Stored = 0;
+  }
   removeSoon(RemovalDelay);
 }
 
