Read blamed parts of prompts when an entry starts

After all entries were killed at once a part that had crashed engines was forgotten, though the store had it. Cause: an entry read the blamed parts only with a suspicion of its own, so they crashed engines once more before they were read. Evidence: ServingEntryRestartTest.ReadsBlamedPartsAtStartButNotAtTheFirst without the read: 0 lists where 1 is expected. Fix: an entry reads them at its start like the requests that crash upstreams, before it is ready. As a stale blame would now be read at each start, an entry withdraws a blame also if another one has written it: it knows the revision from its read, or lists again after a conflict (BlameStoreTest.WithdrawsBlameThatAnotherEntryHasWritten). Ruled out: leaving it to the suspicion, which needs crashes. Price: one list for each start but the first of a site.

--- a/include/samphirehill/Serving/BlameStore.h
+++ b/include/samphirehill/Serving/BlameStore.h
@@ -1,5 +1,6 @@
 // Keeps the blamed parts of prompts in the platform's store, for entries that
-// are cut off from those that know of the crashes but not from the store.
+// are cut off from those that know of the crashes but not from the store, and
+// for those that start when no other entry lives.
 #ifndef SAMPHIREHILL_SERVING_BLAMESTORE_H
 #define SAMPHIREHILL_SERVING_BLAMESTORE_H
 
@@ -39,12 +40,19 @@
   // written may be lost, or be there in an earlier form.
   void noteStoreRestored() { Restored = !Parts.empty(); }
 
+  // Reads the blamed parts, unless that has succeeded before; at most once a
+  // second.
+  void readAtStart();
+  bool hasRead() const { return HasRead; }
+
   // Reads the blamed parts if there are suspicions that they may confirm; at
   // most once a second.
   void readIfSuspecting();
 
 private:
   void write(PromptPart Part);
+  void read();
+  void apply(const StoredObject &Object);
   // Reads again which of the parts that this entry has written are there.
   void readWritten();
   void compareWritten(const std::vector<StoredObject> &Listed);
@@ -60,9 +68,12 @@
   const ObjectStore &Store;
   PartSuspects &Suspects;
   std::map<PromptPart, Written> Parts;
-  bool Restored = false; // and Parts not compared with the store since
+  // The store was restored, or holds a part at a revision that isn't known, and
+  // Parts has not been compared with it since.
+  bool Restored = false;
   bool Comparing = false;
   TimePoint CompareAt{}; // at the earliest
+  bool HasRead = false;
   bool Reading = false;
   TimePoint LastReadAt{};
   // Callbacks of the store may outlive this object.
--- a/include/samphirehill/Serving/ServingEntry.h
+++ b/include/samphirehill/Serving/ServingEntry.h
@@ -165,8 +165,10 @@
   // Returns whether this entry is the first of those in contact, which writes
   // to the store what all of them know.
   bool isFirstInContact() const;
-  // Returns whether callers may still arrive before this entry knows which
-  // requests crash upstreams.
+  // Reads what crashes upstreams from the store, if this has not been done.
+  void readCrashRecords();
+  // Returns whether to get ready only later, as this entry doesn't know yet
+  // which requests crash upstreams.
   bool awaitsCrashRecords() const;
   // Logs that break-offs have made room for others, if they have.
   void logDroppedBreakOffs();
--- a/lib/Serving/BlameStore.cpp
+++ b/lib/Serving/BlameStore.cpp
@@ -160,21 +160,33 @@
                 const Error *Failed = errorOf(Done);
                 if (!Failed)
                   Known.Revision = std::get<0>(Done).Revision;
-                // Conflict: another entry has written the part.
-                if (!Failed || Failed->Code == ResultCode::Conflict) {
+                bool Conflict = Failed && Failed->Code == ResultCode::Conflict;
+                // Another entry has written the part.
+                if (!Failed || (Conflict && Blamed)) {
                   Known.Blamed = Blamed;
                   return;
                 }
+                Restored = Restored || Conflict; // its revision is unknown
                 Known.RetryAt = Timers.now() + WriteRetryDelay;
                 spdlog::info("event=blame_write_failed part={:x} reason=\"{}\"",
                              Part, Failed->Message);
               });
 }
 
+void BlameStore::readAtStart() {
+  if (!HasRead)
+    read();
+}
+
 void BlameStore::readIfSuspecting() {
+  if (!Suspects.Parts.empty())
+    read();
+}
+
+void BlameStore::read() {
   TimePoint Now = Timers.now();
   bool TooSoon = LastReadAt != TimePoint{} && Now - LastReadAt < ReadPause;
-  if (Reading || Suspects.Parts.empty() || TooSoon)
+  if (Reading || TooSoon)
     return;
   Reading = true;
   LastReadAt = Now;
@@ -187,10 +199,19 @@
       spdlog::info("event=blame_read_failed reason=\"{}\"", Failed->Message);
       return;
     }
+    HasRead = true;
     for (const StoredObject &Each : std::get<0>(Answer))
-      applySuspects(Suspects, decodeBlame(Each, Timers.now(), Timers.wallNow()),
-                    Timers.now());
+      apply(Each);
   });
 }
 
+void BlameStore::apply(const StoredObject &Object) {
+  SuspectReport Report = decodeBlame(Object, Timers.now(), Timers.wallNow());
+  applySuspects(Suspects, Report, Timers.now());
+  std::optional<PromptPart> Part = partOf(Object.Name);
+  // This entry may be the one to withdraw the blame later.
+  if (Part && !Report.Crashes.empty())
+    Parts.try_emplace(*Part, Written{Object.Revision, true, false, {}});
+}
+
 } // namespace samphirehill::serving
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -234,8 +234,7 @@
                Settings.FirstStart);
   Groups.start();
   Tick = Timers.every(TickPeriod, [this] { tick(); });
-  if (!Settings.FirstStart)
-    KeptCrashes.readAtStart();
+  readCrashRecords();
   joinPeers();
   return {};
 }
@@ -633,8 +632,16 @@
                                      });
 }
 
+void ServingEntry::readCrashRecords() {
+  if (Settings.FirstStart)
+    return; // nothing has crashed yet
+  KeptCrashes.readAtStart();
+  Blames.readAtStart();
+}
+
 bool ServingEntry::awaitsCrashRecords() const {
-  return !Settings.FirstStart && !KeptCrashes.hasRead() &&
+  bool Read = KeptCrashes.hasRead() && Blames.hasRead();
+  return !Settings.FirstStart && !Read &&
          Timers.now() - ConfiguredAt < CrashRecordsWait;
 }
 
@@ -792,8 +799,7 @@
   logDroppedBreakOffs();
   expireSuspects(Suspects, Now);
   eraseEndedLives(Book, Now);
-  if (!Settings.FirstStart)
-    KeptCrashes.readAtStart();
+  readCrashRecords();
   KeptCrashes.update(isFirstInContact());
   exchangeBlames();
   logBlamedParts();
--- a/test/Serving/BlameStoreTest.cpp
+++ b/test/Serving/BlameStoreTest.cpp
@@ -98,6 +98,43 @@
   blame(Known, Bad);
 }
 
+// Guards against a bad part that crashes engines again after all entries have
+// been killed at once (BUDGET).
+TEST_F(BlameStoreTest, TellsEntryThatStartsWhenAllOthersHaveEnded) {
+  blame(Known, Bad);
+  Writer.writeChanges();
+  Reader.readAtStart();
+  EXPECT_TRUE(Reader.hasRead());
+  EXPECT_TRUE(isBlamed(CutOff));
+  Reader.readAtStart();
+  EXPECT_EQ(Lists, 1);
+}
+
+// The entry that wrote a blame may have ended before the part is released.
+TEST_F(BlameStoreTest, WithdrawsBlameThatAnotherEntryHasWritten) {
+  for (bool Read : {true, false}) {
+    PartSuspects Other;
+    BlameStore Later{Timers, Store, Other};
+    blame(Known, Bad);
+    Writer.writeChanges();
+    if (Read)
+      Later.readAtStart();
+    else
+      blame(Other, Bad);
+    Later.writeChanges();
+    noteProof(Other, std::vector<PromptPart>{Bad},
+              Timers.now() + milliseconds(1), Timers.now());
+    for (int Tick = 0; Tick < 4; ++Tick)
+      Later.writeChanges();
+    EXPECT_EQ(
+        decodeBlame(Objects.begin()->second, Timers.now(), Timers.wallNow()),
+        SuspectReport{})
+        << Read;
+    Objects.clear();
+    Writer.noteStoreRestored();
+  }
+}
+
 // Guards against a blame that no newcomer learns of, as it is lost when the
 // store is restored.
 TEST_F(BlameStoreTest, WritesBlameAgainThatIsLost) {
--- a/test/Serving/ServingEntryRestartTest.cpp
+++ b/test/Serving/ServingEntryRestartTest.cpp
@@ -136,6 +136,14 @@
   EXPECT_LT(Timers.now(), End);
 }
 
+TEST_F(ServingEntryRestartTest, ReadsBlamedPartsAtStartButNotAtTheFirst) {
+  start();
+  EXPECT_EQ(Store.Calls["list blames"], 1);
+  Settings.FirstStart = true;
+  start();
+  EXPECT_EQ(Store.Calls["list blames"], 1);
+}
+
 // The store may answer some calls only.
 TEST_F(ServingEntryRestartTest, GetsReadyWhenTheCrashRecordsCannotBeRead) {
   addInstance("i1", [](ScriptedConnection &, int) {});
