Refuse a crashing request for 60 s after its last crash

A request that comes seldom may crash more upstreams than allowed. Cause: only break-offs younger than 60 s were counted, so the refusal ended when the third-latest was 60 s old. With crashes at 0, 58 and 59 s it lasted one second. Evidence: CrashRecordTest.RefusesForRetentionAfterTheLastBreakOff failed before and passes now. Fix: three break-offs within 60 s of each other refuse the request until 60 s after the last one. What makes a request suspect is unchanged (CountsBreakOffsWithinRetentionOfEachOtherOnly). Price: by reading, a sound request that met three crashes is refused for up to 60 s longer than before.

--- a/lib/Serving/CrashRecord.cpp
+++ b/lib/Serving/CrashRecord.cpp
@@ -18,10 +18,15 @@
   return Last;
 }
 
+// Returns whether MaxBreakOffs of Seen came within Retention of each other, the
+// last one within Retention of now.
 bool isRefused(const CrashRecord &Record, const SeenBreakOffs &Seen,
                TimePoint Now) {
+  TimePoint Last = lastOf(Seen);
+  if (Now - Last >= Record.Retention)
+    return false;
   auto Counted = std::count_if(Seen.begin(), Seen.end(), [&](const auto &Each) {
-    return Now - Each.second.At < Record.Retention;
+    return Last - Each.second.At < Record.Retention;
   });
   return Counted >= Record.MaxBreakOffs;
 }
--- a/test/Serving/CrashRecordTest.cpp
+++ b/test/Serving/CrashRecordTest.cpp
@@ -37,6 +37,27 @@
   EXPECT_TRUE(Record.Recent.empty());
 }
 
+// Guards against a request that comes seldom and crashes more upstreams than
+// allowed (BUDGET), as it was refused until its first crash was old only.
+TEST(CrashRecordTest, RefusesForRetentionAfterTheLastBreakOff) {
+  CrashRecord Record;
+  TimePoint Last = Start + Record.Retention - seconds(1);
+  noteOwnBreakOff(Record, {1, 10, Start});
+  noteOwnBreakOff(Record, {1, 11, Last - seconds(1)});
+  noteOwnBreakOff(Record, {1, 12, Last});
+  EXPECT_FALSE(mayRun(Record, 1, Last + Record.Retention - seconds(1)));
+  EXPECT_TRUE(mayRun(Record, 1, Last + Record.Retention));
+}
+
+TEST(CrashRecordTest, CountsBreakOffsWithinRetentionOfEachOtherOnly) {
+  CrashRecord Record;
+  noteOwnBreakOff(Record, {1, 10, Start});
+  noteOwnBreakOff(Record, {1, 11, Start + seconds(30)});
+  TimePoint Last = Start + Record.Retention;
+  noteOwnBreakOff(Record, {1, 12, Last});
+  EXPECT_TRUE(mayRun(Record, 1, Last));
+}
+
 // Guards against requests that crash engines and are forgotten because many
 // others have ended without an answer.
 TEST(CrashRecordTest, MakesRoomForNewRequestsAndKeepsRefusedOnes) {
