Judge what an engine does from all evidence, not from its entry alone

Cause: what an engine does was read from its entry in the list, though its own reports and the orders given to it were newer. An engine whose last entry named no group was forgotten when it left the list. With the evidence left out, GroupControllerCutTest fails twice: one join while the head is open, no Open order within 4 s for a head whose entry names its former group. Fix: EngineEvidence, free functions over plain structs, concludes from the entry, the reports, the orders and the group that was left; unlisting, unlisted heads and the plan ask it. An engine whose entry contradicts its reports, or doesn't show its join, is asked for its state. Ruled out: keeping every unlisted engine in mind for a time (holds up members whose head was in no group).

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -7,6 +7,7 @@
 #include "samphirehill/Core/Result.h"
 #include "samphirehill/Net/TimerService.h"
 #include "samphirehill/Serving/DutyLease.h"
+#include "samphirehill/Serving/EngineEvidence.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/GroupPlan.h"
 #include "samphirehill/Serving/InstanceNotices.h"
@@ -94,8 +95,9 @@
   void start();
   void setConfiguration(std::shared_ptr<const Configuration> Changed);
 
-  // Records that an instance left the list. Last is its last known state.
-  void noteUnlisted(const Instance &Last);
+  // Records that an instance left the list. Last is its last entry, which was
+  // seen to change at ListedAt.
+  void noteUnlisted(const Instance &Last, TimePoint ListedAt);
   // Records that an instance is listed again.
   void noteListed(const InstanceId &Id);
   // Records what a peer reports about the duty and which heads it asks about.
@@ -160,8 +162,9 @@
   };
   // An instance that has left the list.
   struct Unlisted {
-    Instance Last; // last known state
+    Instance Last; // its last entry
     TimePoint Since{};
+    TimePoint ListedAt{}; // when the entry was last seen to change
   };
 
   void tick();
@@ -193,6 +196,13 @@
   void requestReport(const InstanceId &Id);
   // Fills in the orders that Planned is known to have accepted in this life.
   void fillAccepted(PlannedInstance &Planned) const;
+  const EngineEvidence &evidenceOf(const InstanceId &Id) const;
+  // Returns the group that an unlisted instance may be in.
+  std::optional<Membership> groupOf(const Unlisted &Missed) const;
+  bool mayBeHead(const Unlisted &Missed) const;
+  // Asks the listed instances for their state whose entries contradict what
+  // they have reported.
+  void checkDisputed();
   // Returns whether an unlisted instance may be listed again soon.
   bool mayReturn(const InstanceId &Id, const Unlisted &Missed) const;
   // Returns whether this entry has had reports from Zone for ZoneContactTime.
@@ -214,6 +224,7 @@
   std::map<ServiceId, GroupPlanState> Plans;
   KnownWork Work;
   std::map<InstanceId, Probe> Probes;
+  std::map<InstanceId, EngineEvidence> Evidence;
   std::map<InstanceId, Unlisted> Missing;
   std::map<InstanceId, Question> Asked;
   ReachCensus Census; // as of the planning run
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -76,6 +76,9 @@
   double SpareShare = 0.12;
   // An order that has had no effect is repeated after this.
   Duration OrderRetryDelay = milliseconds(1200);
+  // An engine whose entry doesn't show this long after the order that it has
+  // joined is asked for its state: it may be cut off from the platform.
+  Duration JoinReportDelay = milliseconds(500);
   // A group that is forming is abandoned when it takes this much longer than
   // expected.
   Duration FormationMargin = seconds(4);
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -161,13 +161,30 @@
   noteNews(Work, All, Settings.Plan.Demand.MaxAge, Timers.now());
 }
 
-void GroupController::noteUnlisted(const Instance &Last) {
-  if (!Last.Group)
+void GroupController::noteUnlisted(const Instance &Last, TimePoint ListedAt) {
+  if (!possibleMembership(evidenceOf(Last.Id), Last, ListedAt))
     return;
-  Missing[Last.Id] = {Last, Timers.now()};
+  Missing[Last.Id] = {Last, Timers.now(), ListedAt};
   Probes.erase(Last.Id);
 }
 
+const EngineEvidence &GroupController::evidenceOf(const InstanceId &Id) const {
+  static const EngineEvidence None;
+  auto Found = Evidence.find(Id);
+  return Found == Evidence.end() ? None : Found->second;
+}
+
+std::optional<Membership>
+GroupController::groupOf(const Unlisted &Missed) const {
+  return possibleMembership(evidenceOf(Missed.Last.Id), Missed.Last,
+                            Missed.ListedAt);
+}
+
+bool GroupController::mayBeHead(const Unlisted &Missed) const {
+  std::optional<Membership> Group = groupOf(Missed);
+  return Group && Group->Rank == 0;
+}
+
 void GroupController::noteListed(const InstanceId &Id) { Missing.erase(Id); }
 
 bool GroupController::hasJustAnswered(const InstanceId &Id) const {
@@ -201,8 +218,7 @@
   for (const auto &[Id, Missed] : Missing) {
     auto Found = Probes.find(Id);
     bool Ended = Found != Probes.end() && Found->second.Ended;
-    bool Head = Missed.Last.Group && Missed.Last.Group->Rank == 0;
-    if (Head && !Ended && !hasJustAnswered(Id))
+    if (mayBeHead(Missed) && !Ended && !hasJustAnswered(Id))
       Heads.insert(Id);
   }
   return Heads;
@@ -280,6 +296,8 @@
                            Instances.ZonesOut.contains(Record.Listed.Zone),
                            Now < Record.ColdUntil};
     Engine.Lapsed = Record.Lapsed;
+    Engine.Listed.Group =
+        statedMembership(evidenceOf(Id), Record.Listed, Record.ChangedAt);
     fillAccepted(Engine);
     auto Found = Probes.find(Id);
     if (Found != Probes.end() && Found->second.Reported &&
@@ -303,8 +321,9 @@
       Unlisted.State = Liveness::Alive;
     else
       Unlisted.Listed.Draining = true; // joins no further group
+    Unlisted.Listed.Group = groupOf(Missed);
     // A missing follower ends the group; a missing head may still be serving.
-    if (Missed.Last.Group->Rank != 0 && Unlisted.State != Liveness::Alive)
+    if (!mayBeHead(Missed) && Unlisted.State != Liveness::Alive)
       continue;
     fillAccepted(Unlisted);
     Planned.push_back(std::move(Unlisted));
@@ -332,8 +351,13 @@
   std::erase_if(Asked, [&](const auto &Entry) {
     return Now - Entry.second.LastAt > QuestionMaxAge;
   });
+  std::erase_if(Evidence, [&](const auto &Entry) {
+    return !Instances.Instances.contains(Entry.first) &&
+           !Missing.contains(Entry.first);
+  });
   if (!Config || !isDutyHolder())
     return;
+  checkDisputed();
   bool First =
       Settings.FirstStart && Now - StartedAt < Settings.FirstStartLength;
   for (const auto &[Id, Service] : Config->Services) {
@@ -354,6 +378,14 @@
   }
 }
 
+void GroupController::checkDisputed() {
+  for (const auto &[Id, Record] : Instances.Instances) {
+    if (statedMembership(evidenceOf(Id), Record.Listed, Record.ChangedAt) !=
+        Record.Listed.Group)
+      requestReport(Id);
+  }
+}
+
 void GroupController::publishModels(
     const std::map<std::string, ModelSummary> &Before,
     const std::map<std::string, ModelSummary> &Models) {
@@ -427,11 +459,16 @@
   TargetProbe.Reported.reset();
   std::int64_t Term = Lease.Record.Term;
   std::int64_t Life = To.BornMilliseconds;
+  TimePoint SentAt = TargetProbe.OrderedAt;
+  noteOrdered(Evidence[Order.To], Order, Life, SentAt);
   Calls.Order(
       To, Order,
       [this, Term] { return isDutyHolder() && Lease.Record.Term == Term; },
-      [this, Order, Term, Life](const Outcome<bool> &Answer) {
+      [this, Order, Term, Life, SentAt](const Outcome<bool> &Answer) {
         const Error *Failed = errorOf(Answer);
+        if (!Failed)
+          noteOrderAnswered(Evidence[Order.To], Order, Life,
+                            std::get<0>(Answer), SentAt);
         if (!Failed && std::get<0>(Answer)) {
           Probe &To = Probes[Order.To];
           To.AcceptedFence = Order.Fence;
@@ -491,8 +528,7 @@
   for (const auto &[Id, Missed] : Missing) {
     auto Found = Probes.find(Id);
     bool Ended = Found != Probes.end() && Found->second.Ended;
-    bool Head = Missed.Last.Group && Missed.Last.Group->Rank == 0;
-    if (Ended || (!Head && !isDutyHolder()))
+    if (Ended || (!mayBeHead(Missed) && !isDutyHolder()))
       continue;
     probe(Missed.Last, true);
   }
@@ -563,12 +599,10 @@
     if (!Silent) {
       Finished.AnsweredAt = Timers.now();
       Finished.ReportedAsOf = Finished.SentAt - Lag;
+      noteReported(Evidence[Id], std::get<0>(Answer), Finished.ReportedAsOf);
       if (Finished.ReportedAsOf > Finished.OrderedAt)
         Finished.Reported = std::get<0>(Answer);
     }
-    auto Missed = Missing.find(Id);
-    if (!Silent && Missed != Missing.end())
-      Missed->second.Last.Group = std::get<0>(Answer).Group;
     schedulePlan();
   });
 }
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -460,9 +460,13 @@
         continue;
       Assigned.insert(Id);
       Any = true;
-      if (!isMember(*Each, Forming) && isUsable(*Each) &&
-          recordIfDue("join " + Id.str() + Forming.Group))
+      if (isMember(*Each, Forming) || !isUsable(*Each))
+        continue;
+      if (recordIfDue(joinLabel(Id, Forming)))
         addOrder(joinOrder(Forming, Id));
+      else if (Now - State.OrderedAt.at(joinLabel(Id, Forming)) >=
+               State.Settings.JoinReportDelay)
+        requestReport(*Each);
     }
     bool Counted = Groups.contains({Forming.Group, Forming.Epoch}) &&
                    allMembersIn(Forming);
@@ -473,6 +477,10 @@
     }
   }
 
+  static std::string joinLabel(const InstanceId &Id, const Formation &Forming) {
+    return "join " + Id.str() + Forming.Group;
+  }
+
   bool allMembersIn(const Formation &Forming) const {
     return std::all_of(Forming.Members.begin(), Forming.Members.end(),
                        [&](const InstanceId &Id) {
@@ -590,7 +598,7 @@
     }
     NewGroup.GiveUpAt = Now + Expected + State.Settings.FormationMargin;
     for (const InstanceId &Id : NewGroup.Members) {
-      recordIfDue("join " + Id.str() + NewGroup.Group);
+      recordIfDue(joinLabel(Id, NewGroup));
       addOrder(joinOrder(NewGroup, Id));
       Assigned.insert(Id);
     }
--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -435,7 +435,7 @@
   Found->second.Lapsed = true;
   Lapsed[Id] = Timers.now() + std::chrono::duration_cast<Duration>(
                                   Settings.Drain * LapsedDrainShare);
-  Groups.noteUnlisted(Found->second.Listed);
+  Groups.noteUnlisted(Found->second.Listed, Found->second.ChangedAt);
 }
 
 void ServingEntry::removeInstance(const InstanceId &Id) {
@@ -447,7 +447,7 @@
                Found->second.Listed.Service.str());
   const Instance &Last = Found->second.Listed;
   if (!Found->second.Lapsed)
-    Groups.noteUnlisted(Last);
+    Groups.noteUnlisted(Last, Found->second.ChangedAt);
   // A store that is restored from a copy may list it again.
   if (Last.Draining)
     noteLeaving(Book.Notices, {Id, Last.BornMilliseconds},
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -38,6 +38,10 @@
     Instances.Instances[Listed.Id] = {Listed, {}, Timers.now()};
   }
 
+  static void unlist(GroupController &Controller, const Instance &Last) {
+    Controller.noteUnlisted(Last, TimePoint{});
+  }
+
   // Returns the state that the instance To reports when probed.
   using Report = std::function<Outcome<Instance>(const Instance &To)>;
 
@@ -127,8 +131,7 @@
         },
         Limit, OrderKind::Join,
         [](GroupController &Controller) {
-          Controller.noteUnlisted(
-              member("a", "small.7", 7, 0, MemberPhase::Open));
+          unlist(Controller, member("a", "small.7", 7, 0, MemberPhase::Open));
         });
     return wasOrdered(OrderKind::Join);
   }
@@ -220,8 +223,8 @@
   runController([](const Instance &To) { return To; }, milliseconds(250),
                 OrderKind::Leave,
                 [](GroupController &Controller) {
-                  Controller.noteUnlisted(
-                      member("b", "small.7", 7, 1, MemberPhase::Ready));
+                  unlist(Controller,
+                         member("b", "small.7", 7, 1, MemberPhase::Ready));
                 });
   EXPECT_FALSE(wasOrdered(OrderKind::Leave));
   EXPECT_FALSE(wasOrdered(OrderKind::Close));
@@ -230,12 +233,11 @@
 TEST_F(GroupControllerTest, ClosesGroupWhenUnlistedMemberDoesNotReturn) {
   Instances.Instances.clear();
   add(member("a", "small.7", 7, 0, MemberPhase::Open));
-  runController([](const Instance &To) { return To; }, seconds(4),
-                OrderKind::Close,
-                [](GroupController &Controller) {
-                  Controller.noteUnlisted(
-                      member("b", "small.7", 7, 1, MemberPhase::Ready));
-                });
+  runController(
+      [](const Instance &To) { return To; }, seconds(4), OrderKind::Close,
+      [](GroupController &Controller) {
+        unlist(Controller, member("b", "small.7", 7, 1, MemberPhase::Ready));
+      });
   EXPECT_TRUE(wasOrdered(OrderKind::Close));
   EXPECT_FALSE(wasOrdered(OrderKind::Leave));
 }
@@ -272,5 +274,107 @@
   EXPECT_LT(toMilliseconds(Timers.now() - LeftAt), 700);
 }
 
+// Three engines that carry out orders. The list shows their states, but for one
+// of them once that engine is cut off from the platform.
+class GroupControllerCutTest : public GroupControllerTest {
+protected:
+  GroupControllerCutTest() {
+    Instances.Instances.clear();
+    for (const char *Id : {"a", "b", "c"}) {
+      Instance Free = engine(Id, "north-d0");
+      Free.Staged = {"small"};
+      State[Free.Id] = Free;
+      add(Free);
+    }
+    OnOrder = [this](const GroupOrder &Order) { carryOut(Order); };
+  }
+
+  void carryOut(const GroupOrder &Order) {
+    Instance &To = State.at(Order.To);
+    if (Order.Kind == OrderKind::Join) {
+      JoinsWhileHeadServes += servesWith(Order.To, Order.Group);
+      auto Rank = std::find(Order.Members.begin(), Order.Members.end(), To.Id) -
+                  Order.Members.begin();
+      To.Group = Membership{Order.Group, Order.Epoch, static_cast<int>(Rank),
+                            MemberPhase::Ready};
+      Members[Order.Group] = Order.Members;
+    }
+    bool Own = To.Group && To.Group->Epoch == Order.Epoch;
+    if (Order.Kind == OrderKind::Open && Own)
+      To.Group->Phase = MemberPhase::Open;
+    if (Order.Kind == OrderKind::Close && Own)
+      To.Group->Phase = MemberPhase::Ready;
+    if (Order.Kind == OrderKind::Leave && Own)
+      To.Group.reset();
+    if (OnCarriedOut)
+      OnCarriedOut(To);
+    if (To.Id != CutOff && Instances.Instances.contains(To.Id))
+      add(To);
+  }
+
+  // Returns whether Id is a member of another group than Group whose head is
+  // open.
+  bool servesWith(const InstanceId &Id, const std::string &Group) const {
+    const std::optional<Membership> &Place = State.at(Id).Group;
+    if (!Place || Place->Group == Group)
+      return false;
+    const std::optional<Membership> &Head =
+        State.at(Members.at(Place->Group).front()).Group;
+    return Head && Head->Group == Place->Group &&
+           Head->Phase == MemberPhase::Open;
+  }
+
+  std::map<InstanceId, Instance> State; // by the engines' own reports
+  std::map<std::string, std::vector<InstanceId>> Members; // by group
+  InstanceId CutOff;
+  std::function<void(const Instance &)> OnCarriedOut;
+  int JoinsWhileHeadServes = 0;
+};
+
+// Guards against a member that joins another group while its head is open
+// (TWO): the head's entry named no group when it expired, but the head had
+// reported since that it leads one.
+TEST_F(GroupControllerCutTest, KeepsMembersOfAHeadWhoseLastEntryNamedNoGroup) {
+  GroupController *Running = nullptr;
+  TimerSubscription Expiry;
+  OnCarriedOut = [&](const Instance &Changed) {
+    const Membership &Place = *Changed.Group;
+    if (Place.Rank == 0 && Place.Phase == MemberPhase::Ready)
+      CutOff = Changed.Id;
+    if (Place.Phase == MemberPhase::Open)
+      Expiry = Timers.after(milliseconds(100), [&] {
+        Instance Last = Instances.Instances.at(CutOff).Listed;
+        EXPECT_FALSE(Last.Group);
+        Instances.Instances.erase(CutOff);
+        Running->noteUnlisted(Last, TimePoint{});
+      });
+  };
+  runController([&](const Instance &To) { return State.at(To.Id); }, seconds(3),
+                OrderKind::Leave,
+                [&](GroupController &Controller) { Running = &Controller; });
+  EXPECT_FALSE(CutOff.str().empty());
+  EXPECT_EQ(JoinsWhileHeadServes, 0);
+  EXPECT_TRUE(wasOrdered(OrderKind::Close)); // not listed within ReturnWait
+}
+
+// Guards against a group that isn't opened before its head reaches the platform
+// again, since the head's entry still shows the group that it led before.
+TEST_F(GroupControllerCutTest, OpensGroupOfAHeadWhoseEntryNamesItsFormerGroup) {
+  for (const char *Id : {"a", "b"}) {
+    Instance &Engine = State.at(InstanceId(Id));
+    Engine.Group = Membership{"small.1", 1, Id[0] - 'a', MemberPhase::Ready};
+    add(Engine);
+  }
+  Members["small.1"] = {InstanceId("a"), InstanceId("b")};
+  State.at(InstanceId("a")).Group->Phase = MemberPhase::Open;
+  add(State.at(InstanceId("a")));
+  CutOff = InstanceId("a");
+  Instances.Instances.erase(InstanceId("b")); // lost
+  runController([&](const Instance &To) { return State.at(To.Id); }, seconds(4),
+                OrderKind::Open, [](GroupController &) {});
+  EXPECT_TRUE(wasOrdered(OrderKind::Open));
+  EXPECT_EQ(JoinsWhileHeadServes, 0);
+}
+
 } // namespace
 } // namespace samphirehill::serving
