Take the limits on requests anew for each request

Cause: a connection copied max_header_bytes to its reader when it was accepted, and the copy outlived the setting. With the changes taken out the four tests of CallerServerLimitTest fail (431, 413). Fix: the limits on a request's size are taken for each request, raised ones also while it is read, lowered ones from the next request on. The parser library's own bound of 80 KB rises with the largest limit; before, a head of 150 KB was refused whatever the configuration said. Ruled out: closing kept connections at a change (requests that cross it are lost).

--- a/include/samphirehill/Serving/CallerServer.h
+++ b/include/samphirehill/Serving/CallerServer.h
@@ -89,8 +89,10 @@
   // Address is not an IP address or can't be listened at.
   Result<void> listen(const SocketAddress &Address);
 
-  // Sets the limits for requests received from now on. The idle timeout is
-  // never shortened, since callers may rely on an earlier, longer one.
+  // Sets the limits for requests received from now on, also on connections that
+  // are open. A limit on the size of a request applies at once if it is raised,
+  // and from the next request on if it is lowered. The idle timeout is never
+  // shortened, since callers may rely on an earlier, longer one.
   void setLimits(const CallerLimits &Limits);
 
   // Sets whether all answers get "Connection: close" from now on. A request
--- a/include/samphirehill/Serving/HttpMessage.h
+++ b/include/samphirehill/Serving/HttpMessage.h
@@ -79,12 +79,17 @@
 // Parses the messages that are received on one connection, one after the other.
 class MessageReader {
 public:
-  // MaxHeadBytes bounds the request line and the headers.
+  // MaxHeadBytes bounds the request line and the headers, see setMaxHeadBytes.
   MessageReader(MessageKind Kind, std::size_t MaxHeadBytes,
                 MessageHandlers Handlers);
   MessageReader(const MessageReader &) = delete;
   MessageReader &operator=(const MessageReader &) = delete;
 
+  // Sets the bound on the request line and the headers, also for a head that is
+  // being read. The library has a bound of its own for all readers of the
+  // process, which is raised as needed.
+  void setMaxHeadBytes(std::size_t Changed);
+
   // Parses Bytes, at most to the end of one message, and returns how many bytes
   // were parsed. Callers check error() after each call.
   std::size_t read(std::string_view Bytes);
--- a/lib/Serving/CallerServer.cpp
+++ b/lib/Serving/CallerServer.cpp
@@ -179,8 +179,11 @@
     std::shared_ptr<CallerConnection> Self = shared_from_this();
     while (!CurrentRequest && !ClosesAfterWrite && !Input.empty() &&
            Socket.is_open()) {
-      if (!Reader.inMessage())
+      if (!Reader.inMessage()) {
         StartedAt = Server->Timers.now();
+        Allowed = Server->Limits;
+      }
+      allowMore();
       std::string Bytes = std::move(Input);
       Input.clear();
       std::size_t Taken = Reader.read(Bytes);
@@ -194,8 +197,16 @@
     }
   }
 
+  // Takes over limits that have been raised. A request may have been sent
+  // before a limit was lowered, so that applies to the next one.
+  void allowMore() {
+    Allowed.HeadBytes = std::max(Allowed.HeadBytes, Server->Limits.HeadBytes);
+    Allowed.BodyBytes = std::max(Allowed.BodyBytes, Server->Limits.BodyBytes);
+    Reader.setMaxHeadBytes(Allowed.HeadBytes);
+  }
+
   void addBody(std::string_view Part) {
-    if (Body.size() + Part.size() > Server->Limits.BodyBytes)
+    if (Body.size() + Part.size() > Allowed.BodyBytes)
       TooLarge = true;
     if (!TooLarge)
       Body += Part;
@@ -272,6 +283,7 @@
   std::string Body;
   std::string Output;       // not yet passed to the socket
   std::string BeingWritten; // by the write operation in progress, if any
+  CallerLimits Allowed;     // for the request that is being received
   MessageReader Reader;
   std::shared_ptr<CallerRequest> CurrentRequest;
   TimePoint StartedAt{};
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace samphirehill::serving {
@@ -86,6 +88,20 @@
   return Bytes;
 }
 
+// The library counts line ends and blanks too.
+constexpr std::size_t ParserSlackBytes = 16'384;
+
+// Raises the library's bound on heads, which holds for the whole process, so
+// that heads of Bytes can be read.
+void raiseParserBound(std::size_t Bytes) {
+  static std::size_t Bound = HTTP_MAX_HEADER_SIZE;
+  if (Bytes + ParserSlackBytes <= Bound)
+    return;
+  Bound = std::min<std::size_t>(Bytes + ParserSlackBytes,
+                                std::numeric_limits<std::uint32_t>::max());
+  http_parser_set_max_header_size(static_cast<std::uint32_t>(Bound));
+}
+
 } // namespace
 
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
@@ -225,12 +241,18 @@
 
 MessageReader::MessageReader(MessageKind Kind, std::size_t MaxHeadBytes,
                              MessageHandlers Handlers)
-    : MaxHeadBytes(MaxHeadBytes), Handlers(std::move(Handlers)) {
+    : Handlers(std::move(Handlers)) {
+  setMaxHeadBytes(MaxHeadBytes);
   http_parser_init(&Parser,
                    Kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser.data = this;
 }
 
+void MessageReader::setMaxHeadBytes(std::size_t Changed) {
+  MaxHeadBytes = Changed;
+  raiseParserBound(Changed);
+}
+
 std::size_t MessageReader::read(std::string_view Bytes) {
   if (Failure != ReadError::None || Bytes.empty())
     return 0;
@@ -241,6 +263,8 @@
     Handlers.OnEnd();
     return Parsed;
   }
+  if (HTTP_PARSER_ERRNO(&Parser) == HPE_HEADER_OVERFLOW)
+    Failure = ReadError::HeadTooLarge;
   bool Upgrade = Parser.upgrade != 0;
   if ((HTTP_PARSER_ERRNO(&Parser) != HPE_OK || Upgrade) &&
       Failure == ReadError::None)
--- a/test/Serving/CallerServerTest.cpp
+++ b/test/Serving/CallerServerTest.cpp
@@ -149,5 +149,100 @@
   EXPECT_EQ(Bytes->heldBytes(), 2 * AnswerBytes);
 }
 
+// The limits on the size of requests, which change while connections are open.
+class CallerServerLimitTest : public CallerServerTest {
+protected:
+  CallerServerLimitTest() {
+    Answer = [](CallerRequest &Request) {
+      Request.reply(HttpResponse{200, {}, "end"});
+    };
+  }
+
+  void setLimits(std::size_t HeadBytes, std::size_t BodyBytes = 4'096) {
+    CallerLimits Limits;
+    Limits.HeadBytes = HeadBytes;
+    Limits.BodyBytes = BodyBytes;
+    Server.setLimits(Limits);
+  }
+
+  // Returns a head of about HeadBytes, in headers of 1,000 bytes.
+  static std::string headOf(std::size_t HeadBytes, std::size_t BodyBytes = 0) {
+    std::string Head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                       std::to_string(BodyBytes) + "\r\n";
+    while (Head.size() + 1'000 < HeadBytes)
+      Head += "X-Note: " + std::string(990, 'n') + "\r\n";
+    return Head + "\r\n";
+  }
+
+  void send(const std::string &Bytes) {
+    bool Sent = false;
+    asio::async_write(Caller, asio::buffer(Bytes),
+                      [&](std::error_code, std::size_t) { Sent = true; });
+    EXPECT_TRUE(runUntil(Context, [&] { return Sent; }));
+  }
+
+  // Runs the server until it has read what was sent.
+  void settle() {
+    TimePoint End = Timers.now() + milliseconds(50);
+    runUntil(Context, [&] { return Timers.now() >= End; });
+  }
+
+  // Returns the status of the next answer.
+  std::string status() {
+    std::string Received;
+    std::array<char, 4'096> Buffer{};
+    bool Done = false;
+    Caller.async_read_some(asio::buffer(Buffer),
+                           [&](std::error_code, std::size_t Size) {
+                             Received.append(Buffer.data(), Size);
+                             Done = true;
+                           });
+    EXPECT_TRUE(runUntil(Context, [&] { return Done; }));
+    return Received.substr(0, Received.find("\r\n"));
+  }
+};
+
+// Guards against proper requests that are refused for as long as their
+// connection lasts, since it took the limit when it was accepted (DENIED).
+TEST_F(CallerServerLimitTest, AppliesRaisedHeadLimitToKeptConnections) {
+  setLimits(16'384);
+  send(headOf(1'000));
+  EXPECT_EQ(status(), "HTTP/1.1 200 OK");
+  setLimits(32'768);
+  send(headOf(20'000));
+  EXPECT_EQ(status(), "HTTP/1.1 200 OK");
+}
+
+TEST_F(CallerServerLimitTest, AppliesRaisedLimitsToARequestThatIsHalfRead) {
+  setLimits(16'384, 100);
+  std::string Request = headOf(20'000, 200) + std::string(200, 'b');
+  send(Request.substr(0, 10'000));
+  settle();
+  setLimits(32'768, 200);
+  send(Request.substr(10'000));
+  EXPECT_EQ(status(), "HTTP/1.1 200 OK");
+}
+
+TEST_F(CallerServerLimitTest, AppliesLoweredLimitsFromTheNextRequestOn) {
+  setLimits(32'768, 200);
+  std::string Request = headOf(20'000, 200) + std::string(200, 'b');
+  send(Request.substr(0, 10'000));
+  settle();
+  setLimits(16'384, 100);
+  send(Request.substr(10'000));
+  EXPECT_EQ(status(), "HTTP/1.1 200 OK");
+  send(headOf(20'000));
+  EXPECT_EQ(status(), "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
+// The parser library has a limit of its own.
+TEST_F(CallerServerLimitTest, ReadsHeadsLargerThanTheParsersDefault) {
+  setLimits(200'000);
+  send(headOf(150'000));
+  EXPECT_EQ(status(), "HTTP/1.1 200 OK");
+  send(headOf(210'000));
+  EXPECT_EQ(status(), "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
 } // namespace
 } // namespace samphirehill::serving
