Put a changed retry limit into force without other entries too

Cause: an entry that knows no other entry kept the retry limit of its start when the settings changed. Evidence: ServingEntryRestartTest.AppliesChangedRetryLimitWithoutOtherEntries failed before (2 requests where the new limit allows 1) and passes now. Fix: reload sets the limit with the number of entries in force.

--- a/lib/Serving/ServingEntry.cpp
+++ b/lib/Serving/ServingEntry.cpp
@@ -916,6 +916,7 @@
   Settings.FairShares = Changed.FairShares;
   Settings.RankFloor = Changed.RankFloor;
   Settings.OrganisationFloor = Changed.OrganisationFloor;
+  Retries.Bounds = retryBounds(Settings, Retries.Bounds.Entries);
   Flows.shares().Settings = shareSettings(Settings);
   Flows.shares().Use = Settings.FairShares;
   Pool.bytes()->setLimit(heldBytesLimit(Settings));
--- a/test/Serving/ServingEntryRestartTest.cpp
+++ b/test/Serving/ServingEntryRestartTest.cpp
@@ -154,5 +154,19 @@
   }));
 }
 
+// Guards against a retry limit that stays in force after operators changed it,
+// for as long as no other entry is known.
+TEST_F(ServingEntryRestartTest, AppliesChangedRetryLimitWithoutOtherEntries) {
+  for (const char *Id : {"i1", "i2"})
+    addInstance(Id, [](ScriptedConnection &To, int) { To.close(); });
+  start();
+  ServingSettings Changed = Settings;
+  Changed.RetrySlack = 0;
+  Changed.RetryRatio = 0;
+  Entries.back()->reload(Changed);
+  EXPECT_TRUE(get(Settings.Callers.Port, "/safe/x").starts_with("HTTP/1.1 50"));
+  EXPECT_EQ(requests(), 1);
+}
+
 } // namespace
 } // namespace samphirehill::serving
