Count each life of an upstream that a request crashes

Cause: an upstream's hash didn't hold the start of its process, so one that starts again under its name was counted once, and a request that met the same two instances was never refused. Evidence: ServingEntryRestartTest.CountsEachLifeOfAnInstanceThatIsCrashed failed before (4 requests at the instance, 3 allowed) and passes now. Fix: the hash holds the life too.

--- a/include/samphirehill/Serving/Fleet.h
+++ b/include/samphirehill/Serving/Fleet.h
@@ -91,8 +91,9 @@
   bool operator==(const UpstreamKey &) const = default;
 };
 
-// Returns a hash of Key, equal in all processes.
-std::uint64_t upstreamHash(const UpstreamKey &Key);
+// Returns a hash of Key and the life of its instance, equal in all processes.
+std::uint64_t upstreamHash(const UpstreamKey &Key,
+                           std::int64_t BornMilliseconds);
 
 // A replica group or a plain service instance that requests can be sent to.
 struct Upstream {
--- a/lib/Serving/Fleet.cpp
+++ b/lib/Serving/Fleet.cpp
@@ -35,9 +35,11 @@
 
 } // namespace
 
-std::uint64_t upstreamHash(const UpstreamKey &Key) {
-  return combineHashes(hashBytes(Key.Instance.str()),
-                       static_cast<std::uint64_t>(Key.Epoch));
+std::uint64_t upstreamHash(const UpstreamKey &Key,
+                           std::int64_t BornMilliseconds) {
+  return combineHashes(combineHashes(hashBytes(Key.Instance.str()),
+                                     static_cast<std::uint64_t>(Key.Epoch)),
+                       static_cast<std::uint64_t>(BornMilliseconds));
 }
 
 std::string groupName(const std::string &Model, std::int64_t Number) {
--- a/lib/Serving/RequestFlow.cpp
+++ b/lib/Serving/RequestFlow.cpp
@@ -735,8 +735,8 @@
   }
 
   void noteBroken(const UpstreamKey &Key) {
-    noteOwnBreakOff(shared().Crashes,
-                    {Fingerprint, upstreamHash(Key), now(), Resent});
+    std::uint64_t Ended = upstreamHash(Key, CurrentLife.BornMilliseconds);
+    noteOwnBreakOff(shared().Crashes, {Fingerprint, Ended, now(), Resent});
     if (shared().OnBreakOff)
       shared().OnBreakOff(Fingerprint);
   }
--- a/test/Serving/ServingEntryRestartTest.cpp
+++ b/test/Serving/ServingEntryRestartTest.cpp
@@ -154,6 +154,22 @@
   }));
 }
 
+// Guards against a request that crashes the same few instances again and again,
+// as they start under their former names (BUDGET).
+TEST_F(ServingEntryRestartTest, CountsEachLifeOfAnInstanceThatIsCrashed) {
+  addInstance("i1", [](ScriptedConnection &To, int) { To.close(); });
+  start();
+  for (int Crash = 1; Crash <= 4; ++Crash) {
+    get(Settings.Callers.Port, "/safe/x");
+    Listed[0].BornMilliseconds = Crash + 1;
+    Entries.back()->applyListChange(
+        {"i1", ++Revision, false, ListedInstance{Listed[0], {}}});
+    TimePoint End = Timers.now() + seconds(1);
+    runUntil(Context, [&] { return Timers.now() >= End; });
+  }
+  EXPECT_EQ(requests(), 3);
+}
+
 // Guards against a retry limit that stays in force after operators changed it,
 // for as long as no other entry is known.
 TEST_F(ServingEntryRestartTest, AppliesChangedRetryLimitWithoutOtherEntries) {
