End no answer with a connection whose write operation failed

Callers saw a part of an answer as a complete one (MIXED): an engine answered an upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a socket reports a failure once. A read and a write operation are both pending during an upload, and the reactor runs the write operation first, so that one got "connection reset"; the read operation then got an end of file, which ends a body without a length. The write operation's error was logged and dropped, as "the read operation decides how the exchange ends".

Fix: the exchange keeps the write operation's error, and an end of file after it is reported as that error. If the end of file comes first, while the request is still being written, the answer is complete once the request is written, or after 500 ms: a peer that is gone answers the rest of the request with a reset, one that has ended only its half of the connection doesn't. An answer with a length or in chunks that has arrived whole is delivered as before.

It needs no engine that resets: if the engine stops reading, TCP_USER_TIMEOUT (2.5 s) ends the connection, the write operation gets "timed out", and the part was passed on as whole too. Pooled connections to that address are now closed then, which was done only for a read operation that timed out.

The price: an answer without a length to an upload that the engine leaves unread takes 0.5 s longer, if the engine ends its half of the connection and stays.

The other reader of answers, lib/Net/HttpClient (the daemon, samphirehillctl, the stand-ins and the load tool), is sound: libcurl fails a transfer whose write operation fails.

Ruled out: the reader of messages (an end of file within a length or chunks is an error) and the order of the two completions (one thread; the write operation's is queued first in each way).

detach() ends the exchange now, as its callbacks must not use the pool later.

--- a/include/samphirehill/Serving/UpstreamExchange.h
+++ b/include/samphirehill/Serving/UpstreamExchange.h
@@ -47,7 +47,8 @@
   // response awaited.
   std::function<bool(const HttpResponse &Head)> OnHead;
   std::function<void(std::string_view Part)> OnBody;
-  // Called when the response is complete.
+  // Called when the response is complete. An end of file completes a response
+  // without a length, unless the request can't be written to its end.
   std::function<void()> OnEnd;
   std::function<void(ExchangeFailure Kind, const std::string &Cause)> OnFailure;
 };
--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t MaxCarriedIds = 256;
 // A pooled connection is used until this long before the peer's idle timeout.
 constexpr Duration IdleMargin = milliseconds(500);
+// A peer that has closed its socket resets the connection when the rest of the
+// request arrives, well within this time.
+constexpr Duration ResetWait = milliseconds(500);
 
 // Returns the timeout that a Keep-Alive header states, if there is one.
 std::optional<Duration> keepAliveTimeout(const HeaderList &Headers) {
@@ -73,6 +76,7 @@
     Handlers = std::move(Callbacks);
     Busy = true;
     WriteDone = false;
+    WriteError.clear();
     OtherAnswers = 0;
     OtherBytes = 0;
     ++Requests;
@@ -97,6 +101,7 @@
     std::error_code Ignored; // the connection ends either way
     Socket.close(Ignored);
     ConnectTimer.cancel();
+    ResetTimer.cancel();
     if (Pool)
       removeFromPool();
   }
@@ -104,6 +109,7 @@
   // Closes the connection without calling handlers: the pool is destroyed.
   void detach() {
     Handlers = {};
+    Busy = false;
     Pool = nullptr;
     close();
   }
@@ -189,16 +195,24 @@
     asio::async_write(
         Socket, asio::buffer(Output),
         [Self = shared_from_this()](std::error_code Failed, std::size_t) {
-          Self->WriteDone = true;
-          // The read operation decides how the exchange ends: the peer may
-          // have answered before it stopped reading and closed.
-          if (Failed && Self->Busy)
-            spdlog::debug(
-                "event=upstream_write_failed upstream={} error=\"{}\"",
-                Self->Address.str(), Failed.message());
+          Self->written(Failed);
         });
   }
 
+  void written(std::error_code Failed) {
+    WriteDone = true;
+    WriteError = Failed;
+    if (!Busy)
+      return;
+    // The read operation decides how the exchange ends: the peer may have
+    // answered before it stopped reading and closed.
+    if (Failed)
+      spdlog::debug("event=upstream_write_failed upstream={} error=\"{}\"",
+                    Address.str(), Failed.message());
+    if (EndOfFileSeen)
+      endWithConnection();
+  }
+
   void read() {
     Socket.async_read_some(
         asio::buffer(Buffer),
@@ -212,15 +226,34 @@
   void readFailed(std::error_code Failed) {
     if (!Busy)
       return close();
+    EndOfFileSeen = Failed == asio::error::eof;
+    if (EndOfFileSeen)
+      return endWithConnection();
+    readBroken(Failed);
+  }
+
+  void readBroken(std::error_code Failed) {
     if (Failed == asio::error::timed_out)
       closeIdleToSameAddress();
-    bool EndOfFile = Failed == asio::error::eof;
-    if (EndOfFile)
-      Reader.readEnd();
-    if (std::exchange(AnswerComplete, false))
+    fail(Failed.message());
+  }
+
+  // Ends the exchange after an end of file, which also ends an answer without a
+  // length, unless the connection has failed. A socket reports a failure once:
+  // if the write operation gets it, the read operation gets an end of file.
+  void endWithConnection() {
+    if (WriteError)
+      return readBroken(WriteError);
+    Reader.readEnd();
+    if (!AnswerComplete)
+      return fail("closed by the peer");
+    if (WriteDone)
       return finishAnswer(false);
-    if (Busy)
-      fail(EndOfFile ? "closed by the peer" : Failed.message());
+    // The peer may have ended the answer, or may be gone.
+    ResetTimer = Pool->Timers.after(ResetWait, [Weak = weak_from_this()] {
+      if (std::shared_ptr<PooledConnection> Self = Weak.lock())
+        Self->finishAnswer(false);
+    });
   }
 
   void received(std::string_view Bytes) {
@@ -344,6 +377,7 @@
   ExchangeHandlers Handlers;
   MessageReader Reader;
   TimerSubscription ConnectTimer;
+  TimerSubscription ResetTimer;
   TimePoint IdleSince{};
   Duration PeerIdleTimeout = std::chrono::hours(1);
   int Requests = 0; // that it has carried, the current one included
@@ -352,6 +386,8 @@
   bool Connected = false;
   bool SentAny = false;
   bool WriteDone = false;
+  std::error_code WriteError; // if WriteDone
+  bool EndOfFileSeen = false;
   bool PeerKeepsAlive = true;
   bool AnswersRequest = false; // the message being read is the answer
   bool AnswerComplete = false; // but OnEnd has not been called yet
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -40,12 +40,41 @@
       Context.run_one_for(std::chrono::milliseconds(100));
   }
 
+  // Sends an upload to a server that reads nothing of it before Answer runs.
+  // Returns the answer, or the error.
+  Outcome<HttpResponse> upload(serving::ScriptedServer::Script Answer,
+                               bool Streamed = false) {
+    serving::ScriptedServer Unreading(Context, std::move(Answer),
+                                      serving::RequestReading::None);
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Url = "http://127.0.0.1:" + std::to_string(Unreading.port()) + "/";
+    Request.Body = std::string(4'000'000, 'x');
+    Request.FreshConnection = true;
+    bool Done = false;
+    Outcome<HttpResponse> Ended = Error{ResultCode::Internal, "not ended"};
+    auto OnDone = [&](Outcome<HttpResponse> Value) {
+      Done = true;
+      Ended = std::move(Value);
+    };
+    HttpStreamCallbacks Callbacks;
+    Callbacks.OnDone = OnDone;
+    if (Streamed)
+      Client.stream(std::move(Request), std::move(Callbacks));
+    else
+      Client.send(std::move(Request), OnDone);
+    runUntil(Done);
+    return Ended;
+  }
+
   asio::io_context Context;
+  TimerService Timers{Context};
   // Keeps the context from stopping while only the client's thread has work.
   asio::executor_work_guard<asio::io_context::executor_type> Guard{
       Context.get_executor()};
   std::unique_ptr<HttpServer> Server;
   HttpClient Client{Context};
+  TimerSubscription EndTimer;
 };
 
 // Guards against lost methods, headers or bodies on either side.
@@ -300,5 +329,46 @@
         Expect(First, Behind, Idle);
 }
 
+// Guards against a part of an answer that passes for the whole one, when the
+// connection is reset while the upload is being written. libcurl fails a
+// transfer whose write operation fails.
+TEST_F(HttpTest, ReportsErrorWhenAnswerToAnUploadIsCut) {
+  for (const char *Head : {"HTTP/1.1 200 OK\r\n\r\n",
+                           "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                           "HTTP/1.0 200 OK\r\n\r\n"}) {
+    // A connection that is closed with unread bytes is reset too.
+    for (auto Cut : {&serving::ScriptedConnection::reset,
+                     &serving::ScriptedConnection::close}) {
+      auto SendPart = [&](serving::ScriptedConnection &To, int) {
+        To.send(Head + std::string("part"));
+        EndTimer =
+            Timers.after(milliseconds(20), [Cut, Open = To.shared_from_this()] {
+              (Open.get()->*Cut)();
+            });
+      };
+      for (bool Streamed : {false, true}) {
+        Outcome<HttpResponse> Ended = upload(SendPart, Streamed);
+        ASSERT_NE(errorOf(Ended), nullptr) << Head << Streamed;
+        EXPECT_EQ(errorOf(Ended)->Code, ResultCode::BadAnswer);
+      }
+    }
+  }
+}
+
+// A server may answer without having read the request.
+TEST_F(HttpTest, DeliversWholeAnswerToAnUnreadUpload) {
+  for (const char *Head : {"HTTP/1.1 200 OK\r\n\r\n",
+                           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"}) {
+    Outcome<HttpResponse> Ended =
+        upload([&](serving::ScriptedConnection &To, int) {
+          To.send(Head + std::string("whole"));
+          To.finish();
+          To.discard();
+        });
+    ASSERT_EQ(errorOf(Ended), nullptr) << errorOf(Ended)->Message;
+    EXPECT_EQ(std::get<0>(Ended).Body, "whole") << Head;
+  }
+}
+
 } // namespace
 } // namespace samphirehill
--- a/test/Serving/Loopback.h
+++ b/test/Serving/Loopback.h
@@ -65,6 +65,21 @@
     std::error_code Failed;
     Socket.close(Failed);
   }
+  // Ends this side's half of the connection.
+  void finish() {
+    std::error_code Failed;
+    Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Failed);
+  }
+  // Reads and discards what arrives until the peer closes the connection.
+  void discard() {
+    Socket.async_read_some(
+        asio::buffer(Buffer),
+        [Self = shared_from_this()](std::error_code Failed, std::size_t) {
+          Self->PeerClosed = static_cast<bool>(Failed);
+          if (!Failed)
+            Self->discard();
+        });
+  }
   // Ends the connection with a reset.
   void reset() {
     std::error_code Failed;
@@ -81,15 +96,26 @@
   std::array<char, 4'096> Buffer;
 };
 
+// What a ScriptedServer reads. With None, OnRequest is called once for each
+// connection, when the first bytes of a request have arrived, and nothing is
+// read unless the script does so. Its receive buffers are small, so that a long
+// request is still being written then.
+enum class RequestReading { Heads, None };
+
 // HTTP server that calls OnRequest for each received request head. Requests
-// must have an empty or short body. Number counts the requests from 1.
+// must have an empty or short body, unless they aren't read. Number counts the
+// requests from 1.
 class ScriptedServer {
 public:
   using Script = std::function<void(ScriptedConnection &, int Number)>;
 
-  ScriptedServer(asio::io_context &Context, Script OnRequest)
+  ScriptedServer(asio::io_context &Context, Script OnRequest,
+                 RequestReading Reading = RequestReading::Heads)
       : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
-        OnRequest(std::move(OnRequest)) {
+        OnRequest(std::move(OnRequest)), Reading(Reading) {
+    if (Reading == RequestReading::None)
+      Acceptor.set_option(
+          asio::socket_base::receive_buffer_size(SmallReceiveBufferBytes));
     accept();
   }
 
@@ -109,17 +135,30 @@
   std::vector<std::string> Heads; // of all requests
 
 private:
+  static constexpr int SmallReceiveBufferBytes = 4'096;
+
   void accept() {
     Acceptor.async_accept([this](std::error_code Failed,
                                  asio::ip::tcp::socket Socket) {
       if (Failed)
         return;
       Open.push_back(std::make_shared<ScriptedConnection>(std::move(Socket)));
-      read(Open.back());
+      if (Reading == RequestReading::None)
+        awaitRequest(Open.back());
+      else
+        read(Open.back());
       accept();
     });
   }
 
+  void awaitRequest(const std::shared_ptr<ScriptedConnection> &Connection) {
+    Connection->Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                                  [this, Connection](std::error_code Failed) {
+                                    if (!Failed)
+                                      OnRequest(*Connection, ++Requests);
+                                  });
+  }
+
   void read(const std::shared_ptr<ScriptedConnection> &Connection) {
     Connection->Socket.async_read_some(
         asio::buffer(Connection->Buffer),
@@ -140,15 +179,17 @@
 
   asio::ip::tcp::acceptor Acceptor;
   Script OnRequest;
+  RequestReading Reading;
   std::vector<std::shared_ptr<ScriptedConnection>> Open;
   int Requests = 0;
 };
 
-// Runs Context until Done returns true or 5 s have passed; returns Done's
+// Runs Context until Done returns true or Limit has passed; returns Done's
 // result.
 inline bool runUntil(asio::io_context &Context,
-                     const std::function<bool()> &Done) {
-  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+                     const std::function<bool()> &Done,
+                     Duration Limit = seconds(5)) {
+  auto Deadline = std::chrono::steady_clock::now() + Limit;
   while (!Done() && std::chrono::steady_clock::now() < Deadline)
     Context.run_one_for(std::chrono::milliseconds(20));
   return Done();
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -82,9 +82,10 @@
   // Adds an engine that runs Script for each request. The engine added first is
   // chosen first, since it is in the entry's own zone.
   ScriptedServer &addEngine(const ServiceId &Service,
-                            ScriptedServer::Script Script) {
+                            ScriptedServer::Script Script,
+                            RequestReading Reading = RequestReading::Heads) {
     Engines.push_back(
-        std::make_unique<ScriptedServer>(Context, std::move(Script)));
+        std::make_unique<ScriptedServer>(Context, std::move(Script), Reading));
     Upstream Added;
     Added.Key = {InstanceId("i" + std::to_string(Engines.size())), 1};
     Added.Service = Service;
@@ -1060,6 +1061,66 @@
   }
 }
 
+// The engine resets the connection while the upload is being written.
+class RequestFlowUploadTest : public RequestFlowTest {
+protected:
+  // Sends a request whose body is too long to be written at once.
+  void upload(const std::string &Path) {
+    configure();
+    Upload = "POST " + Path +
+             "1 HTTP/1.1\r\nHost: h\r\nid: r1\r\n"
+             "Content-Length: 4000000\r\n\r\n" +
+             std::string(4'000'000, 'x');
+    asio::async_write(Client, asio::buffer(Upload),
+                      [](std::error_code Failed, std::size_t) {
+                        EXPECT_FALSE(Failed) << Failed.message();
+                      });
+    readMore();
+  }
+
+  void addEngineThatResets(const ServiceId &Service, const std::string &Part) {
+    addEngine(
+        Service,
+        [this, Part](ScriptedConnection &To, int) {
+          To.send("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\n" + Part);
+          ResetTimer = Timers.after(milliseconds(20), [&To] { To.reset(); });
+        },
+        RequestReading::None);
+  }
+
+  TimerSubscription ResetTimer;
+  std::string Upload;
+};
+
+TEST_F(RequestFlowUploadTest, ServesElsewhereWhenAnswerIsCut) {
+  addEngineThatResets(PlainService, "part");
+  addEngine(
+      PlainService,
+      [](ScriptedConnection &To, int) {
+        To.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+      },
+      RequestReading::None);
+  upload("/safe/");
+  EXPECT_TRUE(awaitAnswer("\r\n\r\nsecond")) << Received;
+  EXPECT_EQ(Received.find("part"), std::string::npos) << Received;
+}
+
+TEST_F(RequestFlowUploadTest, AnswersMayHaveRunWhenAnswerIsCut) {
+  addEngineThatResets(PlainService, "part");
+  upload("/unsafe/");
+  EXPECT_TRUE(awaitAnswer("HTTP/1.1 502")) << Received;
+  EXPECT_EQ(Received.find("part"), std::string::npos) << Received;
+}
+
+TEST_F(RequestFlowUploadTest, AbortsStreamThatIsCut) {
+  Routes.back().Resumable = false;
+  addEngineThatResets(PoolService, "id: 1\ndata: a\n\n");
+  upload("/stream/");
+  EXPECT_TRUE(runUntil(Context, [this] { return Closed; }));
+  EXPECT_NE(Received.find("data: a"), std::string::npos) << Received;
+  EXPECT_EQ(Received.find("\r\n0\r\n"), std::string::npos) << Received;
+}
+
 // What an engine answers in place of the rest of a stream.
 struct StreamCase {
   const char *Name;
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -185,5 +185,164 @@
   EXPECT_EQ(Failure, ExchangeFailure::Unusable);
 }
 
+// What a peer does after it has sent an answer to an upload that it hasn't
+// read.
+enum class PeerEnd {
+  Reset,
+  ResetLate,
+  Close,          // with the upload unread, so that its kernel sends a reset
+  FinishAndReset, // ends its half of the connection first
+  Stall,          // reads nothing, so that the connection times out
+  Finish,         // ends its half of the connection and reads nothing
+  FinishAndRead,
+};
+
+struct UploadCase {
+  const char *Name;
+  std::string Answer;
+  PeerEnd End;
+};
+
+std::ostream &operator<<(std::ostream &To, const UploadCase &Case) {
+  return To << Case.Name;
+}
+
+// Sends an upload to a peer that answers while it is being written.
+class UpstreamExchangeUploadTest : public testing::TestWithParam<UploadCase> {
+protected:
+  UpstreamExchangeUploadTest()
+      : Timers(Context), Pool(Context, Timers),
+        Peer(
+            Context,
+            [this](ScriptedConnection &To, int) {
+              To.send(GetParam().Answer);
+              EndTimer = Timers.after(GetParam().End == PeerEnd::ResetLate
+                                          ? milliseconds(300)
+                                          : milliseconds(20),
+                                      [this, &To] { end(To, GetParam().End); });
+            },
+            RequestReading::None) {}
+
+  void end(ScriptedConnection &To, PeerEnd How) {
+    switch (How) {
+    case PeerEnd::Reset:
+    case PeerEnd::ResetLate:
+      return To.reset();
+    case PeerEnd::Close:
+      return To.close();
+    case PeerEnd::FinishAndReset:
+      To.finish();
+      EndTimer = Timers.after(milliseconds(20), [&To] { To.reset(); });
+      return;
+    case PeerEnd::Stall:
+      return;
+    case PeerEnd::Finish:
+      return To.finish();
+    case PeerEnd::FinishAndRead:
+      To.finish();
+      return To.discard();
+    }
+  }
+
+  // Returns the answer to an upload, or its failure.
+  Outcome<HttpResponse> upload() {
+    std::optional<Outcome<HttpResponse>> Ended;
+    HttpRequest Request{"POST", "/", {{"Host", "h"}}, {}};
+    Request.Body = std::string(4'000'000, 'x');
+    // A stalled connection times out after 2.5 s, at its next window probe.
+    Pool.call({"127.0.0.1", Peer.port()}, Request, seconds(9),
+              [&](Outcome<HttpResponse> Result) { Ended = std::move(Result); });
+    runUntil(
+        Context, [&] { return Ended.has_value(); }, seconds(10));
+    return Ended.value_or(Error{ResultCode::Internal, "not ended"});
+  }
+
+  asio::io_context Context;
+  TimerService Timers;
+  ExchangePool Pool;
+  ScriptedServer Peer;
+  TimerSubscription EndTimer;
+};
+
+class UpstreamExchangeCutUploadTest : public UpstreamExchangeUploadTest {};
+
+// Guards against a part of an answer that passes for the whole one (MIXED): the
+// write operation gets the socket's error, and the read operation an end of
+// file.
+TEST_P(UpstreamExchangeCutUploadTest, FailsWhenAnswerWithoutLengthIsCut) {
+  Outcome<HttpResponse> Ended = upload();
+  ASSERT_TRUE(errorOf(Ended)) << std::get<0>(Ended).Body;
+  EXPECT_EQ(errorOf(Ended)->Code, ResultCode::UpstreamLost)
+      << errorOf(Ended)->Message;
+}
+
+const std::string HeadWithoutLength = "HTTP/1.1 200 OK\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, UpstreamExchangeCutUploadTest,
+    testing::Values(
+        UploadCase{"Reset", HeadWithoutLength + "part", PeerEnd::Reset},
+        UploadCase{"ResetLate", HeadWithoutLength + "part", PeerEnd::ResetLate},
+        UploadCase{"Close", HeadWithoutLength + "part", PeerEnd::Close},
+        UploadCase{"ConnectionClose",
+                   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+                   PeerEnd::Reset},
+        UploadCase{"Http10", "HTTP/1.0 200 OK\r\n\r\npart", PeerEnd::Reset},
+        UploadCase{"HeadOnly", HeadWithoutLength, PeerEnd::Reset},
+        UploadCase{"FinishAndReset", HeadWithoutLength + "part",
+                   PeerEnd::FinishAndReset},
+        UploadCase{"Stall", HeadWithoutLength + "part", PeerEnd::Stall},
+        UploadCase{"WithinLength",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart",
+                   PeerEnd::Reset},
+        UploadCase{"WithinChunks",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       serializeChunk("part"),
+                   PeerEnd::Reset}),
+    [](const auto &Info) { return Info.param.Name; });
+
+class UpstreamExchangeWholeAnswerTest : public UpstreamExchangeUploadTest {};
+
+// A peer may answer without having read the request.
+TEST_P(UpstreamExchangeWholeAnswerTest, DeliversWholeAnswerToUnreadUpload) {
+  Outcome<HttpResponse> Ended = upload();
+  ASSERT_FALSE(errorOf(Ended)) << errorOf(Ended)->Message;
+  EXPECT_EQ(std::get<0>(Ended).Body, "whole");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, UpstreamExchangeWholeAnswerTest,
+    testing::Values(
+        UploadCase{"LengthThenReset", answer("200 OK", "whole"),
+                   PeerEnd::Reset},
+        UploadCase{"LengthThenStall", answer("200 OK", "whole"),
+                   PeerEnd::Stall},
+        UploadCase{"ChunksThenReset",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       serializeChunk("whole") + std::string(LastChunk),
+                   PeerEnd::Reset},
+        UploadCase{"Finish", HeadWithoutLength + "whole", PeerEnd::Finish},
+        UploadCase{"FinishAndRead", HeadWithoutLength + "whole",
+                   PeerEnd::FinishAndRead}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// The upload has been written and read when the answer ends.
+TEST(UpstreamExchangeReadUploadTest, DeliversAnswerThatEndOfFileEnds) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  ExchangePool Pool(Context, Timers);
+  ScriptedServer Peer(Context, [](ScriptedConnection &To, int) {
+    To.send(HeadWithoutLength + "whole");
+    To.close();
+  });
+  std::optional<Outcome<HttpResponse>> Ended;
+  Pool.call({"127.0.0.1", Peer.port()},
+            HttpRequest{"POST", "/", {{"Host", "h"}}, "upload"}, seconds(3),
+            [&](Outcome<HttpResponse> Result) { Ended = std::move(Result); });
+  ASSERT_TRUE(runUntil(Context, [&] { return Ended.has_value(); }));
+  ASSERT_FALSE(errorOf(*Ended)) << errorOf(*Ended)->Message;
+  EXPECT_EQ(std::get<0>(*Ended).Body, "whole");
+}
+
 } // namespace
 } // namespace samphirehill::serving
