Refuse answers with an invalid status

Callers saw: an answer with status 000, 001, 099 or "20" cost its request the whole deadline, and one with status 600 or 999 was passed on as an answer (MIXED).

Cause: any status below 200 was taken for that of an interim answer, after which another one is awaited, also on the same connection; and nothing bounded the range above. The parsers (http_parser, libcurl) accept up to 999.

Fix: a status outside 100 to 599 (RFC 9110, section 15) makes an answer malformed where it is read. The exchange closes the connection at once, as what follows can't be relied on; the request is retried elsewhere if it may be, or its caller gets 502, which doesn't promise that it was not run. The rule stands in Core/HttpSyntax.h and is used by both readers, MessageReader and HttpClient.

On the daemon's own door only 600 and 999 were passed on: libcurl refuses the others at once.

Open: a status with a leading zero (0200) is read as 200 by http_parser, which tells only the number; libcurl refuses it.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "samphirehill/Net/HttpClient.h"
 
+#include "samphirehill/Core/HttpSyntax.h"
 #include "samphirehill/Limits/ByteBudget.h"
 
 #include <algorithm>
@@ -202,6 +203,9 @@
     curl_slist_free_all(Ended.HeaderList);
   }
 
+  // Returned by a callback, has libcurl end the transfer with an error.
+  static constexpr std::size_t EndTransfer = 0;
+
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *User) {
     auto *Running = static_cast<Transfer *>(User);
@@ -214,6 +218,8 @@
       long Status = 0;
       curl_easy_getinfo(Running->Easy, CURLINFO_RESPONSE_CODE, &Status);
       Running->Response.Status = static_cast<int>(Status);
+      if (!isValidStatus(Running->Response.Status))
+        return EndTransfer;
       Running->Owner->postHeaders(*Running);
       return Size * Count;
     }
@@ -238,7 +244,7 @@
                        Body.size() + Chunk.size());
     if (Body.size() + Chunk.size() > MaxAnswerBytes ||
         Running->Held->isEnding())
-      return 0; // libcurl ends the transfer with an error
+      return EndTransfer;
     Body += Chunk;
     return Size * Count;
   }
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/HttpMessage.h"
 
+#include "samphirehill/Core/HttpSyntax.h"
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -213,11 +215,13 @@
     };
     Callbacks.on_headers_complete = [](http_parser *Parser) {
       MessageReader &Self = self(Parser);
-      if (!areWellFormed(Self.Headers)) {
+      Self.Status = static_cast<int>(Parser->status_code);
+      bool HasStatus = Parser->type == HTTP_RESPONSE;
+      if (!areWellFormed(Self.Headers) ||
+          (HasStatus && !isValidStatus(Self.Status))) {
         Self.Failure = ReadError::Malformed;
         return -1;
       }
-      Self.Status = static_cast<int>(Parser->status_code);
       if (Parser->type == HTTP_REQUEST)
         Self.Method =
             http_method_str(static_cast<enum http_method>(Parser->method));
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -40,17 +40,9 @@
       Context.run_one_for(std::chrono::milliseconds(100));
   }
 
-  // Sends an upload to a server that reads nothing of it before Answer runs.
-  // Returns the answer, or the error.
-  Outcome<HttpResponse> upload(serving::ScriptedServer::Script Answer,
-                               bool Streamed = false) {
-    serving::ScriptedServer Unreading(Context, std::move(Answer),
-                                      serving::RequestReading::None);
-    HttpRequest Request;
-    Request.Method = "POST";
-    Request.Url = "http://127.0.0.1:" + std::to_string(Unreading.port()) + "/";
-    Request.Body = std::string(4'000'000, 'x');
-    Request.FreshConnection = true;
+  // Sends Request, whole or streamed. Returns the answer, or the error.
+  Outcome<HttpResponse> run(HttpRequest Request, bool Streamed,
+                            bool *HeadSeen = nullptr) {
     bool Done = false;
     Outcome<HttpResponse> Ended = Error{ResultCode::Internal, "not ended"};
     auto OnDone = [&](Outcome<HttpResponse> Value) {
@@ -59,6 +51,10 @@
     };
     HttpStreamCallbacks Callbacks;
     Callbacks.OnDone = OnDone;
+    Callbacks.OnHeaders = [&](const HttpResponse &) {
+      if (HeadSeen)
+        *HeadSeen = true;
+    };
     if (Streamed)
       Client.stream(std::move(Request), std::move(Callbacks));
     else
@@ -67,6 +63,25 @@
     return Ended;
   }
 
+  static HttpRequest requestTo(std::uint16_t Port) {
+    HttpRequest Request;
+    Request.Url = "http://127.0.0.1:" + std::to_string(Port) + "/";
+    Request.FreshConnection = true;
+    return Request;
+  }
+
+  // Sends an upload to a server that reads nothing of it before Answer runs.
+  // Returns the answer, or the error.
+  Outcome<HttpResponse> upload(serving::ScriptedServer::Script Answer,
+                               bool Streamed = false) {
+    serving::ScriptedServer Unreading(Context, std::move(Answer),
+                                      serving::RequestReading::None);
+    HttpRequest Request = requestTo(Unreading.port());
+    Request.Method = "POST";
+    Request.Body = std::string(4'000'000, 'x');
+    return run(std::move(Request), Streamed);
+  }
+
   asio::io_context Context;
   TimerService Timers{Context};
   // Keeps the context from stopping while only the client's thread has work.
@@ -250,6 +265,27 @@
   }
 }
 
+// Guards against an answer with an invalid status that is passed on to callers.
+TEST_F(HttpTest, ReportsErrorAtOnceWhenStatusIsInvalid) {
+  for (const char *Status : {"000", "000 Zero", "001 X", "099 X", "20 X",
+                             "600 X", "999 X", "2000 X", "65736 X", "-200 X"}) {
+    for (bool Streamed : {false, true}) {
+      serving::ScriptedServer Odd(
+          Context, [&](serving::ScriptedConnection &To, int) {
+            To.send("HTTP/1.1 " + std::string(Status) +
+                    "\r\nContent-Length: 3\r\n\r\nodd"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+          });
+      bool HeadSeen = false;
+      Outcome<HttpResponse> Ended =
+          run(requestTo(Odd.port()), Streamed, &HeadSeen);
+      ASSERT_NE(errorOf(Ended), nullptr) << Status;
+      EXPECT_EQ(errorOf(Ended)->Code, ResultCode::BadAnswer) << Status;
+      EXPECT_FALSE(HeadSeen) << Status;
+    }
+  }
+}
+
 // Guards against a process that runs out of memory because peers send bodies
 // without end: each answer is bounded, and so is their sum.
 TEST_F(HttpTest, EndsAnswersWithoutEndWhileOthersAreServed) {
--- a/test/Serving/HttpMessageTest.cpp
+++ b/test/Serving/HttpMessageTest.cpp
@@ -75,6 +75,29 @@
   EXPECT_EQ(Message.Reader.error(), ReadError::Malformed);
 }
 
+// Guards against an invalid status that is taken for that of an interim answer,
+// or passed on (MIXED).
+TEST(HttpMessageTest, RefusesInvalidStatusOfResponse) {
+  for (const char *Status : {"000", "000 Zero", "001 X", "099 X", "20 X",
+                             "600 X", "999 X", "2000 X", "65736 X", "-200 X"}) {
+    ReadMessage Message(MessageKind::Response);
+    Message.Reader.read("HTTP/1.1 " + std::string(Status) +
+                        "\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(Message.Reader.error(), ReadError::Malformed) << Status;
+    EXPECT_EQ(Message.EndCount, 0) << Status;
+  }
+}
+
+TEST(HttpMessageTest, ReadsValidStatusOfResponse) {
+  for (int Status : {100, 103, 199, 200, 299, 404, 500, 599}) {
+    ReadMessage Message(MessageKind::Response);
+    Message.Reader.read("HTTP/1.1 " + std::to_string(Status) +
+                        " X\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(Message.Reader.error(), ReadError::None) << Status;
+    EXPECT_EQ(Message.Reader.status(), Status);
+  }
+}
+
 TEST(HttpMessageTest, RemovesHeadersOfOneConnection) {
   HeaderList Headers{{"Connection", "X-Own, close"},
                      {"x-own", "1"},
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1061,6 +1061,48 @@
   }
 }
 
+class RequestFlowStatusTest : public RequestFlowTest,
+                              public testing::WithParamInterface<const char *> {
+protected:
+  // Has the engine that is chosen first answer with the tested status, and then
+  // with a success on the same connection.
+  RequestFlowStatusTest() {
+    addEngine(PlainService, [](ScriptedConnection &To, int) {
+      To.send("HTTP/1.1 " + std::string(GetParam()) +
+              "\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nodd");
+      To.send(answer("200 OK\r\nid: r1\r\nseal: s", "late"));
+    });
+  }
+
+  void expectAnswerAtOnce(const std::string &Part) {
+    TimePoint Start = Timers.now();
+    EXPECT_TRUE(awaitAnswer(Part)) << Received;
+    EXPECT_LT(Timers.now() - Start, milliseconds(1'500)); // of 3 s
+    EXPECT_EQ(Received.find("odd"), std::string::npos) << Received;
+    EXPECT_EQ(Received.find("late"), std::string::npos) << Received;
+  }
+};
+
+// Guards against callers that get an answer with an invalid status, or wait
+// until their deadline for the answer after it (MIXED).
+TEST_P(RequestFlowStatusTest, ServesElsewhereAtOnce) {
+  addEngine(PlainService, [](ScriptedConnection &To, int) {
+    To.send(answer("200 OK\r\nid: r1\r\nseal: s", "second"));
+  });
+  send("/safe/");
+  expectAnswerAtOnce("\r\n\r\nsecond");
+}
+
+TEST_P(RequestFlowStatusTest, AnswersMayHaveRunAtOnce) {
+  send("/unsafe/");
+  expectAnswerAtOnce("HTTP/1.1 502");
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, RequestFlowStatusTest,
+                         testing::Values("000", "000 Zero", "001 X", "099 X",
+                                         "20 X", "600 X", "999 X", "2000 X",
+                                         "65736 X", "-200 X"));
+
 // The engine resets the connection while the upload is being written.
 class RequestFlowUploadTest : public RequestFlowTest {
 protected:
