Refuse answers that switch protocols

Callers saw: an answer with status 101 cost its request the whole deadline. The reader's check of the parser's upgrade flag never saw it, since an interim answer is complete with its head. No request asks for another protocol: Upgrade is a hop-by-hop field and isn't passed on.

Fix: 101 isn't usable, whatever reads it.

--- a/bench/broken/play.py
+++ b/bench/broken/play.py
@@ -5,8 +5,8 @@
     bench/broken/play.py [--group GROUP] [--callers N] [--tree DIR] [--log DIR]
 
 GROUP is mixed (answers cut while the upload is being written, and whole ones
-that must be served), status (statuses outside 100 to 599) or names (names of
-fields that are no token). --tree names a checkout whose
+that must be served), status (statuses outside 100 to 599, and 101) or names
+(names of fields that are no token). --tree names a checkout whose
 target/samphirehilld-platform is played, this one by default (build: the command
 of deploy/system.toml). --log DIR keeps the entries' logs. Prints one line a
 case and exits with 1 if a broken answer reached a caller, a whole one did not,
@@ -105,8 +105,9 @@
 
 def status_cases():
     answer = b"HTTP/1.1 %s\r\n{ids}Content-Length: 4\r\n\r\n"
-    for status in (b"000", b"000 Zero", b"001 X", b"099 X", b"20 X", b"600 X",
-                   b"999 X", b"2000 X", b"65736 X", b"-200 X", b"0200 X"):
+    for status in (b"000", b"000 Zero", b"001 X", b"099 X", b"20 X", b"101 X",
+                   b"600 X", b"999 X", b"2000 X", b"65736 X", b"-200 X",
+                   b"0200 X"):
         yield Case(status.decode(), answer % status, b"body", upload=0,
                    end="idle")
     yield Case("000 without a length", b"HTTP/1.1 000 X\r\n{ids}\r\n", b"body",
--- a/include/samphirehill/Core/HttpSyntax.h
+++ b/include/samphirehill/Core/HttpSyntax.h
@@ -5,11 +5,16 @@
 
 namespace samphirehill {
 
-// Returns whether Status is in the range of valid status codes (RFC 9110,
-// section 15). After an answer with another one, nothing that its connection
-// carries can be relied on.
-constexpr bool isValidStatus(int Status) {
-  return Status >= 100 && Status <= 599;
+// Sent only if the request asks for another protocol, which no request of this
+// system does.
+inline constexpr int SwitchingProtocols = 101;
+
+// Returns whether Status is one that an answer may have: in the range of valid
+// status codes (RFC 9110, section 15) and not SwitchingProtocols. After an
+// answer with another one, nothing that its connection carries can be relied
+// on.
+constexpr bool isUsableStatus(int Status) {
+  return Status >= 100 && Status <= 599 && Status != SwitchingProtocols;
 }
 
 } // namespace samphirehill
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -218,7 +218,7 @@
       long Status = 0;
       curl_easy_getinfo(Running->Easy, CURLINFO_RESPONSE_CODE, &Status);
       Running->Response.Status = static_cast<int>(Status);
-      if (!isValidStatus(Running->Response.Status))
+      if (!isUsableStatus(Running->Response.Status))
         return EndTransfer;
       Running->Owner->postHeaders(*Running);
       return Size * Count;
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -218,7 +218,7 @@
       Self.Status = static_cast<int>(Parser->status_code);
       bool HasStatus = Parser->type == HTTP_RESPONSE;
       if (!areWellFormed(Self.Headers) ||
-          (HasStatus && !isValidStatus(Self.Status))) {
+          (HasStatus && !isUsableStatus(Self.Status))) {
         Self.Failure = ReadError::Malformed;
         return -1;
       }
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -267,8 +267,9 @@
 
 // Guards against an answer with an invalid status that is passed on to callers.
 TEST_F(HttpTest, ReportsErrorAtOnceWhenStatusIsInvalid) {
-  for (const char *Status : {"000", "000 Zero", "001 X", "099 X", "20 X",
-                             "600 X", "999 X", "2000 X", "65736 X", "-200 X"}) {
+  for (const char *Status :
+       {"000", "000 Zero", "001 X", "099 X", "20 X", "101 X", "600 X", "999 X",
+        "2000 X", "65736 X", "-200 X"}) {
     for (bool Streamed : {false, true}) {
       serving::ScriptedServer Odd(
           Context, [&](serving::ScriptedConnection &To, int) {
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1100,8 +1100,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Values, RequestFlowStatusTest,
                          testing::Values("000", "000 Zero", "001 X", "099 X",
-                                         "20 X", "600 X", "999 X", "2000 X",
-                                         "65736 X", "-200 X"));
+                                         "20 X", "101 X", "600 X", "999 X",
+                                         "2000 X", "65736 X", "-200 X"));
 
 // The engine resets the connection while the upload is being written.
 class RequestFlowUploadTest : public RequestFlowTest {
