Test that no answer with a malformed field name is forwarded

Nothing but tests changes here. They cover blanks within a name, before the colon (also of Content-Length and Transfer-Encoding) and at the start of the head, tab, NUL, CR, DEL, other control bytes, bytes over 127, delimiters, an empty name and a line without a colon, in a 200, a 500 and an interim answer, first and last in the head; and trailers, which are dropped, so that none is passed on.

--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1103,6 +1103,54 @@
                                          "20 X", "101 X", "600 X", "999 X",
                                          "2000 X", "65736 X", "-200 X"));
 
+// Guards against an answer that is passed on with a line that callers read as
+// something else, or with a body that isn't the engine's (MIXED).
+TEST_F(RequestFlowTest, ForwardsNoAnswerWithMalformedFieldName) {
+  const std::string Ids = "\r\nid: r1\r\nseal: s";
+  std::vector<std::string> Answers;
+  for (const std::string &Line : linesWithMalformedNames()) {
+    for (const std::string Status : {"200 OK", "500 Failed"}) {
+      Answers.push_back(answer(Status + Ids + "\r\n" + Line, "odd"));
+      Answers.push_back(answer(Status + "\r\n" + Line + Ids, "odd"));
+    }
+    Answers.push_back("HTTP/1.1 103 Early\r\n" + Line + "\r\n\r\n" +
+                      answer("200 OK" + Ids, "odd"));
+  }
+  Answers.push_back(answer("200 OK\r\n X-Own: 1" + Ids, "odd"));
+  for (const std::string &Each : Answers) {
+    Usable.clear();
+    Tested = Each;
+    addEngine(PlainService,
+              [this](ScriptedConnection &To, int) { To.send(Tested); });
+    Received.clear();
+    Body += "x"; // or the request itself would be taken for the cause
+    send("/unsafe/");
+    ASSERT_TRUE(awaitAnswer("HTTP/1.1 502")) << Tested << Received;
+    EXPECT_EQ(Received.find("Own"), std::string::npos) << Tested;
+    EXPECT_EQ(Received.find("odd"), std::string::npos) << Tested;
+  }
+}
+
+// Trailers aren't passed on, so that their names can't do harm.
+TEST_F(RequestFlowTest, ForwardsNoTrailerWithMalformedName) {
+  for (const std::string &Line : linesWithMalformedNames()) {
+    Usable.clear();
+    Tested = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n" +
+             serializeChunk("whole") + "0\r\n" + Line + "\r\n\r\n";
+    addEngine(PlainService,
+              [this](ScriptedConnection &To, int) { To.send(Tested); });
+    Received.clear();
+    Body += "x"; // or the request itself would be taken for the cause
+    send("/unsafe/");
+    ASSERT_TRUE(awaitAnswer("\r\n\r\n")) << Tested;
+    EXPECT_EQ(Received.find("Own"), std::string::npos) << Received;
+    EXPECT_TRUE(Received.starts_with("HTTP/1.1 502") ||
+                Received.ends_with("\r\n\r\nwhole"))
+        << Tested << Received;
+  }
+}
+
 // The engine resets the connection while the upload is being written.
 class RequestFlowUploadTest : public RequestFlowTest {
 protected:
--- a/test/Serving/TestWire.h
+++ b/test/Serving/TestWire.h
@@ -6,6 +6,7 @@
 #include "samphirehill/Serving/RequestWire.h"
 
 #include <string>
+#include <vector>
 
 namespace samphirehill::serving {
 
@@ -59,6 +60,24 @@
          Body;
 }
 
+// Lines of heads whose field has no name that is a token (RFC 9110, section
+// 5.6.2).
+inline std::vector<std::string> linesWithMalformedNames() {
+  std::vector<std::string> Lines = {"X Own: 1",
+                                    "X-Own : 1",
+                                    "X-Own\t: 1",
+                                    "Content-Length : 2",
+                                    "Transfer-Encoding : chunked",
+                                    "Content Length: 2",
+                                    "HTTP/1.1 X: 1",
+                                    ": 1",
+                                    "X-Own"};
+  for (char Letter : {'\0', '\x01', '\t', '\r', '\x1f', ' ', '"', '(', '/', '[',
+                      '\x7f', '\x80', '\xe9'})
+    Lines.push_back(std::string("X") + Letter + "Own: 1");
+  return Lines;
+}
+
 } // namespace samphirehill::serving
 
 #endif // SAMPHIREHILL_TEST_SERVING_TESTWIRE_H
