Check names and values of fields on the daemon's own door

Callers of samphirehilld saw (by the test, at the client that its answers are read with): an answer whose head holds a malformed name of a field is taken as an answer, and PlainCall passes the line on. A caller may read it as something else, such as the end of the head.

Cause: libcurl hands over any line with a colon, and HttpClient checked none; the check that MessageReader has for the platform's machines stood in that library alone. Trimming also turned a folded line into a field of its own, and any line that begins with "HTTP/" dropped the fields before it.

Fix: isToken and isFieldValue move to Core/HttpSyntax.h, where the rule for statuses is, and HttpClient applies them to each field of heads, interim answers and trailers, which it hands over like headers. A malformed one ends the transfer with BadAnswer. Folded lines continue the value before them (RFC 9112, section 5.2), as in MessageReader. The status line is known by its place.

Evidence, tests on the code before: HttpTest.ReportsErrorWhenFieldNameIsMalformed failed for 116 of 137 answers (libcurl itself refuses NUL, CR in a name and lines without a colon), JoinsFoldedLinesOfAValue failed, HandsOverWellFormedFieldsAndTrailers passed. All pass now.

--- a/include/samphirehill/Core/HttpSyntax.h
+++ b/include/samphirehill/Core/HttpSyntax.h
@@ -3,6 +3,8 @@
 #ifndef SAMPHIREHILL_CORE_HTTPSYNTAX_H
 #define SAMPHIREHILL_CORE_HTTPSYNTAX_H
 
+#include <string_view>
+
 namespace samphirehill {
 
 // Sent only if the request asks for another protocol, which no request of this
@@ -17,6 +19,15 @@
   return Status >= 100 && Status <= 599 && Status != SwitchingProtocols;
 }
 
+// Returns whether Name is a token (section 5.6.2), as names of fields must be.
+// Libraries accept more, such as spaces before the colon, which other
+// implementations read as the end of the headers.
+bool isToken(std::string_view Name);
+
+// Returns whether Value is free of control characters, so that it can be
+// forwarded without changing how the bytes after it are parsed.
+bool isFieldValue(std::string_view Value);
+
 } // namespace samphirehill
 
 #endif // SAMPHIREHILL_CORE_HTTPSYNTAX_H
--- a/include/samphirehill/Net/HttpClient.h
+++ b/include/samphirehill/Net/HttpClient.h
@@ -58,9 +58,9 @@
 };
 
 // Errors of both kinds of call: ConnectFailed (no byte of the request was
-// sent), Timeout, BadAnswer (connection broken after the request was sent, or
-// the answer is longer than 16 MB, or more is being collected than a client may
-// hold).
+// sent), Timeout, BadAnswer (connection broken after the request was sent, the
+// answer's status or a field is malformed, the answer is longer than 16 MB, or
+// more is being collected than a client may hold).
 class HttpClient {
 public:
   explicit HttpClient(asio::io_context &Context);
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -111,6 +111,7 @@
     HttpRequest Request;
     HttpResponse Response;
     bool Whole = true;
+    bool InHead = false; // its status line has been read, but not its end
     bool HeadersPosted = false;
     std::unique_ptr<HeldBytes> Held; // of Response.Body
     Driver *Owner = nullptr;
@@ -206,29 +207,50 @@
   // Returned by a callback, has libcurl end the transfer with an error.
   static constexpr std::size_t EndTransfer = 0;
 
+  // Called with each line of the heads and of the trailers, and with the empty
+  // line after them.
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *User) {
     auto *Running = static_cast<Transfer *>(User);
-    std::string_view Line = trim(std::string_view(Data, Size * Count));
-    if (Line.starts_with("HTTP/")) {
-      Running->Response = HttpResponse{};
-      return Size * Count;
+    std::string_view Line(Data, Size * Count);
+    return takeHeadLine(*Running, Line) ? Line.size() : EndTransfer;
+  }
+
+  // Returns false if the answer can't be used.
+  static bool takeHeadLine(Transfer &Running, std::string_view Line) {
+    bool Final = Running.Response.Status >= 200;
+    if (!Running.InHead && !Final) {
+      Running.Response = HttpResponse{};
+      Running.InHead = true;
+      return true; // libcurl has read the status
     }
-    if (Line.empty()) {
-      long Status = 0;
-      curl_easy_getinfo(Running->Easy, CURLINFO_RESPONSE_CODE, &Status);
-      Running->Response.Status = static_cast<int>(Status);
-      if (!isUsableStatus(Running->Response.Status))
-        return EndTransfer;
-      Running->Owner->postHeaders(*Running);
-      return Size * Count;
+    if (Line == "\r\n" || Line == "\n")
+      return takeEndOfHead(Running);
+    HttpHeaders &Fields = Running.Response.Headers;
+    if (Line.starts_with(' ') || Line.starts_with('\t')) {
+      if (Fields.empty())
+        return false;
+      // A folded line, see RFC 9112, section 5.2.
+      Fields.back().second += " " + std::string(trim(Line));
+      return isFieldValue(Fields.back().second);
     }
     std::size_t Colon = Line.find(':');
-    if (Colon != std::string_view::npos)
-      Running->Response.Headers.emplace_back(
-          std::string(trim(Line.substr(0, Colon))),
-          std::string(trim(Line.substr(Colon + 1))));
-    return Size * Count;
+    if (Colon == std::string_view::npos)
+      return false;
+    Fields.emplace_back(std::string(Line.substr(0, Colon)),
+                        std::string(trim(Line.substr(Colon + 1))));
+    return isToken(Fields.back().first) && isFieldValue(Fields.back().second);
+  }
+
+  static bool takeEndOfHead(Transfer &Running) {
+    Running.InHead = false;
+    long Status = 0;
+    curl_easy_getinfo(Running.Easy, CURLINFO_RESPONSE_CODE, &Status);
+    Running.Response.Status = static_cast<int>(Status);
+    if (!isUsableStatus(Running.Response.Status))
+      return false;
+    Running.Owner->postHeaders(Running);
+    return true;
   }
 
   static std::size_t onData(char *Data, std::size_t Size, std::size_t Count,
--- a/lib/Serving/HttpMessage.cpp
+++ b/lib/Serving/HttpMessage.cpp
@@ -52,27 +52,6 @@
   }
 }
 
-// Returns whether Name is a token (RFC 9110, section 5.6.2). The library
-// accepts spaces before the colon, which other implementations read as the end
-// of the headers.
-bool isToken(std::string_view Name) {
-  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-  return !Name.empty() &&
-         std::all_of(Name.begin(), Name.end(), [&](char Letter) {
-           return std::isalnum(static_cast<unsigned char>(Letter)) != 0 ||
-                  Marks.find(Letter) != std::string_view::npos;
-         });
-}
-
-// Returns whether Value is free of control characters, so that it can be
-// forwarded without changing how the bytes after it are parsed.
-bool isFieldValue(std::string_view Value) {
-  return std::none_of(Value.begin(), Value.end(), [](char Letter) {
-    auto Code = static_cast<unsigned char>(Letter);
-    return (Code < 0x20 && Code != '\t') || Code == 0x7f;
-  });
-}
-
 bool areWellFormed(const HeaderList &Headers) {
   return std::all_of(Headers.begin(), Headers.end(), [](const Header &Field) {
     return isToken(Field.Name) && isFieldValue(Field.Value);
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -2,6 +2,7 @@
 #include "samphirehill/Net/HttpServer.h"
 
 #include "Serving/Loopback.h"
+#include "Serving/TestWire.h"
 
 #include <asio/buffer.hpp>
 #include <asio/executor_work_guard.hpp>
@@ -287,6 +288,73 @@
   }
 }
 
+// Guards against an answer that is passed on with a line that callers read as
+// something else. Trailers are handed over like headers.
+TEST_F(HttpTest, ReportsErrorWhenFieldNameIsMalformed) {
+  std::vector<std::string> Answers;
+  for (const std::string &Line : serving::linesWithMalformedNames()) {
+    for (const std::string Status : {"200 OK", "500 Failed"}) {
+      Answers.push_back(
+          serving::answer(Status + "\r\nX-Seal: s\r\n" + Line, "odd"));
+      Answers.push_back(
+          serving::answer(Status + "\r\n" + Line + "\r\nX-Seal: s", "odd"));
+    }
+    Answers.push_back("HTTP/1.1 103 Early\r\n" + Line + "\r\n\r\n" +
+                      serving::answer("200 OK\r\nX-Seal: s", "odd"));
+    Answers.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "3\r\nodd\r\n0\r\n" +
+                      Line + "\r\n\r\n");
+  }
+  for (const std::string Line : {" X-Own: 1", "\tX-Own: 1"})
+    Answers.push_back(serving::answer("200 OK\r\n" + Line, "odd"));
+  // A CR in a value looks like the end of a line to some readers.
+  for (const std::string Value : {"1\r X-Own: 1", "1\x01", "1\x7f"})
+    Answers.push_back(serving::answer("200 OK\r\nX-Seal: " + Value, "odd"));
+  for (const std::string &Each : Answers) {
+    serving::ScriptedServer Odd(
+        Context, [&](serving::ScriptedConnection &To, int) { To.send(Each); });
+    Outcome<HttpResponse> Ended = run(requestTo(Odd.port()), false);
+    EXPECT_NE(errorOf(Ended), nullptr) << Each;
+    if (const Error *Failure = errorOf(Ended))
+      EXPECT_EQ(Failure->Code, ResultCode::BadAnswer) << Each;
+  }
+}
+
+// A line that begins with a blank continues the value before it (RFC 9112,
+// section 5.2).
+TEST_F(HttpTest, JoinsFoldedLinesOfAValue) {
+  serving::ScriptedServer Folding(
+      Context, [](serving::ScriptedConnection &To, int) {
+        To.send(serving::answer("200 OK\r\nX-A: 1\r\n X-B: 2\r\n\tX-C: 3\r\n"
+                                "X-D: 4",
+                                "whole"));
+      });
+  Outcome<HttpResponse> Ended = run(requestTo(Folding.port()), false);
+  ASSERT_EQ(errorOf(Ended), nullptr) << errorOf(Ended)->Message;
+  const HttpHeaders &Headers = std::get<0>(Ended).Headers;
+  EXPECT_EQ(findHeader(Headers, "X-A"), "1 X-B: 2 X-C: 3");
+  EXPECT_EQ(findHeader(Headers, "X-B"), "");
+  EXPECT_EQ(findHeader(Headers, "X-D"), "4");
+}
+
+TEST_F(HttpTest, HandsOverWellFormedFieldsAndTrailers) {
+  serving::ScriptedServer Sound(
+      Context, [](serving::ScriptedConnection &To, int) {
+        To.send("HTTP/1.1 103 Early\r\nX-Early: 1\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nX-Own:1\r\nx!#$%&'*+-.^_`|~9: \xc3\xa9\r\n"
+                "X-Empty:\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "5\r\nwhole\r\n0\r\nX-Trailer: 2\r\n\r\n");
+      });
+  Outcome<HttpResponse> Ended = run(requestTo(Sound.port()), false);
+  ASSERT_EQ(errorOf(Ended), nullptr) << errorOf(Ended)->Message;
+  const HttpResponse &Answer = std::get<0>(Ended);
+  EXPECT_EQ(Answer.Body, "whole");
+  EXPECT_EQ(findHeader(Answer.Headers, "X-Early"), "");
+  EXPECT_EQ(findHeader(Answer.Headers, "X-Own"), "1");
+  EXPECT_EQ(findHeader(Answer.Headers, "x!#$%&'*+-.^_`|~9"), "\xc3\xa9");
+  EXPECT_EQ(findHeader(Answer.Headers, "X-Trailer"), "2");
+}
+
 // Guards against a process that runs out of memory because peers send bodies
 // without end: each answer is bounded, and so is their sum.
 TEST_F(HttpTest, EndsAnswersWithoutEndWhileOthersAreServed) {
