Pool no connection whose write operation failed

Callers would see a sound request lost: a booking that is sent on such a connection ends as 502, "may have run". The exchange took the failed write for a finished one and pooled the connection; a request that starts when the answer ends takes it before the end of file is read.

Fix: only a request that was written to its end leaves a usable connection.

--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -331,7 +331,7 @@
     // The copy of an answer without a body would take up the next answer as the
     // body that its length names.
     if (MayKeep && Options.Keep && !Options.AnswerHasNoBody && PeerKeepsAlive &&
-        WriteDone && Pool)
+        WriteDone && !WriteError && Pool)
       release();
     else
       close();
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -326,6 +326,41 @@
                    PeerEnd::FinishAndRead}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against a request that is sent on, and lost with, a connection that
+// was reset behind the answer to an upload.
+TEST(UpstreamExchangeFailedWriteTest, SendsNextRequestOnAnotherConnection) {
+  asio::io_context Context;
+  TimerService Timers(Context);
+  ExchangePool Pool(Context, Timers);
+  TimerSubscription ResetTimer;
+  ScriptedServer Peer(
+      Context,
+      [&](ScriptedConnection &To, int Number) {
+        if (Number == 2)
+          return To.send(answer("200 OK", "x"));
+        ResetTimer = Timers.after(milliseconds(20), [&To] {
+          To.send(answer("200 OK", "x"));
+          To.reset();
+        });
+      },
+      RequestReading::None);
+  SocketAddress Address{"127.0.0.1", Peer.port()};
+  HttpRequest Upload{"POST", "/", {{"Host", "h"}}, {}};
+  Upload.Body = std::string(4'000'000, 'x');
+  HttpRequest Next{"POST", "/", {{"Host", "h"}}, "next"};
+  std::optional<Outcome<HttpResponse>> Ended;
+  Pool.call(
+      Address, Upload, seconds(3), [&](const Outcome<HttpResponse> &First) {
+        EXPECT_FALSE(errorOf(First)) << errorOf(First)->Message;
+        Pool.call(Address, Next, seconds(3), [&](Outcome<HttpResponse> Result) {
+          Ended = std::move(Result);
+        });
+      });
+  ASSERT_TRUE(runUntil(Context, [&] { return Ended.has_value(); }));
+  EXPECT_FALSE(errorOf(*Ended)) << errorOf(*Ended)->Message;
+  EXPECT_EQ(Peer.connections().size(), 2u);
+}
+
 // The upload has been written and read when the answer ends.
 TEST(UpstreamExchangeReadUploadTest, DeliversAnswerThatEndOfFileEnds) {
   asio::io_context Context;
