--- a/lib/Serving/UpstreamExchange.cpp
+++ b/lib/Serving/UpstreamExchange.cpp
@@ -229,10 +229,10 @@
     EndOfFileSeen = Failed == asio::error::eof;
     if (EndOfFileSeen)
       return endWithConnection();
-    readBroken(Failed);
+    connectionFailed(Failed);
   }
 
-  void readBroken(std::error_code Failed) {
+  void connectionFailed(std::error_code Failed) {
     if (Failed == asio::error::timed_out)
       closeIdleToSameAddress();
     fail(Failed.message());
@@ -243,7 +243,7 @@
   // if the write operation gets it, the read operation gets an end of file.
   void endWithConnection() {
     if (WriteError)
-      return readBroken(WriteError);
+      return connectionFailed(WriteError);
     Reader.readEnd();
     if (!AnswerComplete)
       return fail("closed by the peer");
--- a/test/Serving/UpstreamExchangeTest.cpp
+++ b/test/Serving/UpstreamExchangeTest.cpp
@@ -9,6 +9,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <thread>
+
 namespace samphirehill::serving {
 namespace {
 
@@ -192,8 +194,11 @@
   ResetLate,
   Close,          // with the upload unread, so that its kernel sends a reset
   FinishAndReset, // ends its half of the connection first
-  Stall,          // reads nothing, so that the connection times out
-  Finish,         // ends its half of the connection and reads nothing
+  // The same, while this process is suspended for longer than the exchange
+  // waits for a reset.
+  FinishAndResetSuspended,
+  Stall,  // reads nothing, so that the connection times out
+  Finish, // ends its half of the connection and reads nothing
   FinishAndRead,
 };
 
@@ -234,6 +239,15 @@
       To.finish();
       EndTimer = Timers.after(milliseconds(20), [&To] { To.reset(); });
       return;
+    case PeerEnd::FinishAndResetSuspended:
+      To.finish();
+      EndTimer = Timers.after(milliseconds(20), [this, &To] {
+        To.reset();
+        TimePoint Until = Timers.now() + milliseconds(700);
+        while (Timers.now() < Until)
+          std::this_thread::yield();
+      });
+      return;
     case PeerEnd::Stall:
       return;
     case PeerEnd::Finish:
@@ -291,6 +305,8 @@
         UploadCase{"HeadOnly", HeadWithoutLength, PeerEnd::Reset},
         UploadCase{"FinishAndReset", HeadWithoutLength + "part",
                    PeerEnd::FinishAndReset},
+        UploadCase{"FinishAndResetSuspended", HeadWithoutLength + "part",
+                   PeerEnd::FinishAndResetSuspended},
         UploadCase{"Stall", HeadWithoutLength + "part", PeerEnd::Stall},
         UploadCase{"WithinLength",
                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart",
