Keep one list of unusable statuses and one way to run a call in tests

The statuses that no answer may have stood in three test files; they are UnusableStatuses now, beside the malformed names. HttpTest::run replaces the loop that ReportsErrorWhenAnswerBreaksOff had for itself; it expects each call to end, and cancels one that doesn't, whose callbacks would use its frame. HttpClient takes fields in a function of their own.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -226,11 +226,15 @@
     }
     if (Line == "\r\n" || Line == "\n")
       return takeEndOfHead(Running);
-    HttpHeaders &Fields = Running.Response.Headers;
+    return takeField(Running.Response.Headers, Line);
+  }
+
+  // Adds the field of Line, or Line to the value before it if Line is folded
+  // (RFC 9112, section 5.2). Returns false if the field is malformed.
+  static bool takeField(HttpHeaders &Fields, std::string_view Line) {
     if (Line.starts_with(' ') || Line.starts_with('\t')) {
       if (Fields.empty())
         return false;
-      // A folded line, see RFC 9112, section 5.2.
       Fields.back().second += " " + std::string(trim(Line));
       return isFieldValue(Fields.back().second);
     }
--- a/test/Net/HttpTest.cpp
+++ b/test/Net/HttpTest.cpp
@@ -56,11 +56,12 @@
       if (HeadSeen)
         *HeadSeen = true;
     };
-    if (Streamed)
-      Client.stream(std::move(Request), std::move(Callbacks));
-    else
-      Client.send(std::move(Request), OnDone);
+    CallId Call = Streamed
+                      ? Client.stream(std::move(Request), std::move(Callbacks))
+                      : Client.send(std::move(Request), OnDone);
     runUntil(Done);
+    EXPECT_TRUE(Done);
+    Client.cancel(Call); // or its callbacks would outlive this call
     return Ended;
   }
 
@@ -248,29 +249,15 @@
     for (bool Streamed : {false, true}) {
       HttpRequest Request;
       Request.Url = Cut.url();
-      bool Done = false;
-      bool Failed = false;
-      auto OnDone = [&](const Outcome<HttpResponse> &Value) {
-        Done = true;
-        Failed = errorOf(Value) != nullptr;
-      };
-      HttpStreamCallbacks Callbacks;
-      Callbacks.OnDone = OnDone;
-      if (Streamed)
-        Client.stream(Request, Callbacks);
-      else
-        Client.send(Request, OnDone);
-      runUntil(Done);
-      EXPECT_TRUE(Failed) << Whole.substr(0, Size);
+      Outcome<HttpResponse> Ended = run(std::move(Request), Streamed);
+      EXPECT_NE(errorOf(Ended), nullptr) << Whole.substr(0, Size);
     }
   }
 }
 
 // Guards against an answer with an invalid status that is passed on to callers.
 TEST_F(HttpTest, ReportsErrorAtOnceWhenStatusIsInvalid) {
-  for (const char *Status :
-       {"000", "000 Zero", "001 X", "099 X", "20 X", "101 X", "600 X", "999 X",
-        "2000 X", "65736 X", "-200 X"}) {
+  for (const char *Status : serving::UnusableStatuses) {
     for (bool Streamed : {false, true}) {
       serving::ScriptedServer Odd(
           Context, [&](serving::ScriptedConnection &To, int) {
--- a/test/Serving/HttpMessageTest.cpp
+++ b/test/Serving/HttpMessageTest.cpp
@@ -1,5 +1,7 @@
 #include "samphirehill/Serving/HttpMessage.h"
 
+#include "Serving/TestWire.h"
+
 #include <gtest/gtest.h>
 
 namespace samphirehill::serving {
@@ -78,9 +80,7 @@
 // Guards against an invalid status that is taken for that of an interim answer,
 // or passed on (MIXED).
 TEST(HttpMessageTest, RefusesInvalidStatusOfResponse) {
-  for (const char *Status :
-       {"000", "000 Zero", "001 X", "099 X", "20 X", "101 X", "600 X", "999 X",
-        "2000 X", "65736 X", "-200 X"}) {
+  for (const char *Status : UnusableStatuses) {
     ReadMessage Message(MessageKind::Response);
     Message.Reader.read("HTTP/1.1 " + std::string(Status) +
                         "\r\nContent-Length: 0\r\n\r\n");
--- a/test/Serving/RequestFlowTest.cpp
+++ b/test/Serving/RequestFlowTest.cpp
@@ -1099,9 +1099,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Values, RequestFlowStatusTest,
-                         testing::Values("000", "000 Zero", "001 X", "099 X",
-                                         "20 X", "101 X", "600 X", "999 X",
-                                         "2000 X", "65736 X", "-200 X"));
+                         testing::ValuesIn(UnusableStatuses));
 
 // Guards against an answer that is passed on with a line that callers read as
 // something else, or with a body that isn't the engine's (MIXED).
--- a/test/Serving/TestWire.h
+++ b/test/Serving/TestWire.h
@@ -60,6 +60,11 @@
          Body;
 }
 
+// Ends of status lines with a status that no answer may have.
+inline const char *const UnusableStatuses[] = {
+    "000",   "000 Zero", "001 X",  "099 X",   "20 X",  "101 X",
+    "600 X", "999 X",    "2000 X", "65736 X", "-200 X"};
+
 // Lines of heads whose field has no name that is a token (RFC 9110, section
 // 5.6.2).
 inline std::vector<std::string> linesWithMalformedNames() {
