Show a member reassigned while the head of its group is open

Cause: an entry without born counts as another life of the engine; the report of the living head then reads as that of a later life, so the head counts as ended and its members as free.

--- a/review/parts_3.py
+++ b/review/parts_3.py
@@ -400,3 +400,287 @@
 
 def folder_for_run():
     return tempfile.mkdtemp(prefix="case-")
+
+
+class ModelEngine:
+    """One model engine: joins groups, leads them and serves streams."""
+
+    def __init__(self, record, store, engines, name, zone, domain, models):
+        self.record, self.store, self.engines = record, store, engines
+        self.name, self.zone, self.domain = name, zone, domain
+        self.models = models  # name -> size, load_s, warm_s
+        self.before_traffic = True
+        self.born = int(time.time() * 1000)
+        self.group = None
+        self.fence = self.epoch = -1
+        self.seq = 0
+        self.last_model = None
+        self.staged = []
+        self.work = 0
+        self.cut_from_store = False
+        self.draining = False
+        self.last_beat = 0.0
+        self.snapshots = []
+        self.two = []  # joins taken while the head of its group was open
+        self.taken = []  # joins: (time, group)
+        self.tasks = set()
+        engines[name] = self
+
+    async def start(self, host):
+        self.host, self.port = host, free_port(host)
+        self.server = await asyncio.start_server(
+            self.serve, host, self.port, limit=1 << 24)
+        self.later(self.beats())
+
+    def later(self, call):
+        task = asyncio.create_task(call)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def membership(self):
+        if not self.group:
+            return None
+        return {name: self.group[name]
+                for name in ("name", "epoch", "rank", "phase")}
+
+    def entry(self, backend="pool"):
+        spec = {"backend": backend, "address": f"{self.host}:{self.port}",
+                "zone": self.zone, "version": "v1", "capacity_slots": 26,
+                "phase": "draining" if self.draining else "ready",
+                "cold_remaining_ms": 0, "stage": "both", "models": [],
+                "seq": self.seq, "born": self.born, "domain": self.domain,
+                "staged": list(self.staged), "busy": False}
+        if self.group:
+            spec["group"] = self.membership()
+        return spec
+
+    def beat(self):
+        self.snapshots = self.snapshots[-20:] + [
+            (time.monotonic(), self.entry())]
+        if not self.cut_from_store:
+            self.store.put("servers", self.name, self.entry())
+            self.last_beat = time.monotonic()
+
+    async def beats(self):
+        while True:
+            self.beat()
+            await asyncio.sleep(1.2)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                request = await read_message(reader)
+                expected = request.get("X-Samphirehill-Expect-Instance")
+                if expected and expected != self.name:
+                    writer.write(answer(421, [
+                        ("X-Samphirehill-Instance-Id", self.name)]))
+                elif "/-/order" in request.first:
+                    writer.write(answer(self.order(json.loads(request.body))))
+                elif "/-/report" in request.first:
+                    writer.write(answer(200, [
+                        ("Content-Type", "application/json")],
+                        json.dumps(self.report()).encode()))
+                else:
+                    await self.run(request, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    def report(self):
+        """The state as of 150 ms ago (report_lag_ms is 200)."""
+        at = time.monotonic() - 0.15
+        found = self.entry()
+        for when, spec in self.snapshots:
+            if when <= at:
+                found = spec
+        return found
+
+    def order(self, order):
+        before = self.membership()
+        status = self.carry_out(order)
+        self.record(f"order to {self.name}: {order['op']} "
+                    f"{order.get('group')} epoch={order.get('epoch')} "
+                    f"-> {status}, was in {before}")
+        return status
+
+    def carry_out(self, order):
+        fence = order.get("fencing_token", -1)
+        if fence < self.fence:
+            return 412
+        self.fence = fence
+        kind = order["op"]
+        if kind == "stage":
+            if order["model"] in self.staged:
+                return 200
+            self.later(self.load(order["model"]))
+            return 202
+        if kind == "join":
+            return self.join(order)
+        group = self.group
+        if not group or (group["name"], group["epoch"]) != (
+                order["group"], order["epoch"]):
+            return 409 if kind == "open" else 200
+        self.seq += 1
+        if kind == "leave":
+            self.group = None
+        elif kind == "open":
+            if group["phase"] == "open":
+                return 200
+            if group["rank"] != 0 or group["phase"] != "ready":
+                return 409
+            self.later(self.open(group))
+        elif kind == "close" and group["phase"] == "open":
+            group["phase"] = "closing"
+            self.later(self.close(group))
+        self.beat()
+        return 202
+
+    def join(self, order):
+        group = self.group
+        if order["epoch"] < self.epoch:
+            return 412
+        if group and (group["name"], group["epoch"]) == (
+                order["group"], order["epoch"]):
+            return 200 if group["members"] == order["members"] else 412
+        self.epoch = order["epoch"]
+        self.taken.append((self.record.now(), order["group"]))
+        if group:
+            head = self.engines[group["members"][0]]
+            theirs = head.group
+            if theirs and theirs["epoch"] == group["epoch"] and theirs[
+                    "phase"] in ("open", "closing"):
+                self.two.append((self.record.now(), order["group"], head.name,
+                                 group["name"], theirs["phase"]))
+                self.record(f"TWO: {self.name} takes a join of "
+                            f"{order['group']} while {head.name}, head of its "
+                            f"group {group['name']}, is {theirs['phase']}")
+        self.seq += 1
+        self.group = {"name": order["group"], "epoch": order["epoch"],
+                      "members": order["members"],
+                      "rank": order["members"].index(self.name),
+                      "phase": "joining", "model": order["model"]}
+        self.later(self.joining(self.group))
+        self.beat()
+        return 202
+
+    def load_time(self, model):
+        return self.models[model]["load_s"] * (
+            0.1 if self.before_traffic else 1)
+
+    async def load(self, model):
+        await asyncio.sleep(self.load_time(model))
+        self.staged = [model]
+        self.beat()
+
+    async def joining(self, group):
+        model = group["model"]
+        wait = self.load_time(model)
+        if model in self.staged:
+            wait = self.models[model]["warm_s"]
+        if self.last_model == model:
+            wait = 0.2
+        await asyncio.sleep(wait)
+        if self.group is group:
+            self.last_model, self.staged = model, [model]
+            group["phase"] = "ready"
+            self.beat()
+
+    async def open(self, group):
+        await asyncio.sleep(0.3)
+        if self.group is group:
+            group["phase"] = "open"
+            self.record(f"{self.name} opens {group['name']}")
+            self.beat()
+            self.later(self.watch(group))
+
+    async def close(self, group):
+        while self.group is group and self.work:
+            await asyncio.sleep(0.05)
+        if self.group is group:
+            group["phase"] = "ready"
+            self.beat()
+
+    def stands_still(self, group):
+        return any(
+            not self.engines[name].group
+            or self.engines[name].group["epoch"] != group["epoch"]
+            for name in group["members"])
+
+    async def watch(self, group):
+        still_since = None
+        while self.group is group and group["phase"] in ("open", "closing"):
+            if not self.stands_still(group):
+                still_since = None
+            elif still_since is None:
+                still_since = time.monotonic()
+            elif time.monotonic() - still_since > 4:
+                group["phase"] = "broken"
+                self.record(f"{self.name}: {group['name']} is broken")
+                self.beat()
+            await asyncio.sleep(0.1)
+
+    async def run(self, request, writer):
+        attempt = request.get("X-Samphirehill-Attempt-Id")
+        own = [("X-Samphirehill-Attempt-Id", attempt)]
+        group = self.group
+        if not group or group["rank"] != 0:
+            return writer.write(answer(421, own))
+        if group["phase"] != "open":
+            return writer.write(answer(503, own + [
+                ("X-Samphirehill-Not-Executed", "1")]))
+        self.work += 1
+        try:
+            self.record(f"run {attempt} at {self.name} in {group['name']}")
+            head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            for name, value in own + [
+                    ("X-Samphirehill-Engine-Seal", f"{self.name}.{attempt}"),
+                    ("Transfer-Encoding", "chunked")]:
+                head += f"{name}: {value}\r\n"
+            writer.write((head + "\r\n").encode())
+            first = int(request.get("Last-Event-Id") or 0) + 1
+            for number in range(first, 28):
+                await asyncio.sleep(0.03)
+                while self.group is group and group["phase"] in (
+                        "open", "closing") and self.stands_still(group):
+                    await asyncio.sleep(0.05)
+                if self.group is not group or group["phase"] not in (
+                        "open", "closing"):
+                    self.record(f"{attempt} cut off at {self.name}")
+                    return writer.transport.abort()
+                event = f"id: {number}\ndata: {attempt}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.work -= 1
+
+
+def engine_backend(name, models):
+    """The service of model engines as the store shows it."""
+    shapes = [{"name": model, "size": each["size"], "share": 1.0 / len(models),
+               "pace": 1.0, "load_s": each["load_s"],
+               "warm_s": each["warm_s"]} for model, each in models.items()]
+    return {"name": name, "health_path": "/healthz", "max_connections": 474,
+            "protocol": "h1", "tls_enabled": False, "cold_start_s": 3.0,
+            "cold_per_s": 36.0, "engine": {
+                "capacity_slots": 26, "kv_capacity": 1400000,
+                "kv_bytes": 35136, "bandwidth_mbps": 400000.0, "stride": 5,
+                "models": shapes, "step_ms": 6.07, "per_seq_ms": 0.241,
+                "context_per_k": 0.00488, "read_per_s": 46000.0,
+                "pairs_per_m": 0.7, "chunk": 2048, "report_lag_ms": 200.0,
+                "loads_per_s": 4.0, "loads_at_once": 6, "delays": [],
+                "usual": {"prompt": 1076, "answer": 116}, "retains": 1,
+                "far_x": 2.5, "form_ms": 300.0}}
+
+
+async def expire_entries(store, engines):
+    """The store removes an entry after three heartbeats of silence."""
+    while True:
+        for engine in list(engines.values()):
+            silent = time.monotonic() - engine.last_beat > 3.6
+            if silent and ("servers", engine.name) in store.objects:
+                store.remove("servers", engine.name)
+                engine.record(f"the store removes servers/{engine.name}")
+        await asyncio.sleep(0.1)
