Show sound requests refused beside a part that crashes engines

Cause: of parts that were in all the same crashes the last is blamed, also when it is sound; its requests are refused, so no proof releases it, and a trial by a bad request puts the next one off by 60 s. Change: review case 13; nothing is fixed.

--- a/review/parts_3.py
+++ b/review/parts_3.py
@@ -15,6 +15,7 @@
 PROGRAM = os.path.join(TOP, "target", "samphirehilld-platform")
 DRAIN_MS = 2000
 GRACE_S = 8
+IDLE_S = 4  # after which a server closes an idle connection
 
 
 class Record:
@@ -75,7 +76,10 @@
 
 
 async def read_message(reader, is_answer=False):
-    message = await read_head(reader)
+    return await read_body(reader, await read_head(reader), is_answer)
+
+
+async def read_body(reader, message, is_answer=False):
     if "chunked" in message.get("transfer-encoding").lower():
         parts = []
         while True:
@@ -255,9 +259,11 @@
         self.open.add(writer)
         try:
             while True:
-                request = await read_message(reader)
-                await self.run(request, writer)
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+                # Idle connections are closed after a timeout.
+                head = await asyncio.wait_for(read_head(reader), IDLE_S)
+                await self.run(await read_body(reader, head), writer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError,
+                asyncio.TimeoutError, OSError):
             pass
         finally:
             self.open.discard(writer)
@@ -281,7 +287,7 @@
         writer.write(answer(
             200, [("X-Samphirehill-Attempt-Id", attempt),
                   ("X-Samphirehill-Engine-Seal", f"{self.name}.{attempt}"),
-                  *self.extra],
+                  ("Keep-Alive", f"timeout={IDLE_S}"), *self.extra],
             f"{self.name} ran {attempt}".encode()))
         await writer.drain()
 
@@ -423,6 +429,11 @@
         self.snapshots = []
         self.two = []  # joins taken while the head of its group was open
         self.taken = []  # joins: (time, group)
+        self.bad_part = None  # a part of prompts that crashes it
+        self.crashes = []  # when it crashed
+        self.reached_by_bad = []  # (time, id) of requests with that part
+        self.begun = {}  # id -> when it began to write
+        self.open_writers = set()
         self.tasks = set()
         engines[name] = self
 
@@ -466,7 +477,36 @@
             self.beat()
             await asyncio.sleep(1.2)
 
+    def crash(self):
+        """Ends as a crashed process does; it is back 3 s later."""
+        if not self.server:
+            return
+        self.record(f"{self.name} crashes")
+        self.crashes.append(self.record.now())
+        self.server.close()
+        self.server = None
+        self.group = None
+        for writer in list(self.open_writers):
+            writer.transport.abort()
+        asyncio.get_running_loop().call_soon(self.end_tasks)
+
+    def end_tasks(self):
+        for task in list(self.tasks):
+            task.cancel()
+        self.later(self.restart())
+
+    async def restart(self):
+        await asyncio.sleep(3)
+        self.born = int(time.time() * 1000)
+        self.fence = self.epoch = -1
+        self.last_model, self.work, self.snapshots = None, 0, []
+        self.server = await asyncio.start_server(
+            self.serve, self.host, self.port, limit=1 << 24)
+        self.record(f"{self.name} is back")
+        self.later(self.beats())
+
     async def serve(self, reader, writer):
+        self.open_writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -486,6 +526,7 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass
         finally:
+            self.open_writers.discard(writer)
             writer.close()
 
     def report(self):
@@ -633,6 +674,12 @@
         self.work += 1
         try:
             self.record(f"run {attempt} at {self.name} in {group['name']}")
+            parts = request.get("X-Samphirehill-Prefix-Hash").split(",")[:-1]
+            if self.bad_part in [part.split(":")[0] for part in parts]:
+                self.reached_by_bad.append((self.record.now(), attempt))
+                await asyncio.sleep(0.06)
+                return self.crash()
+            self.begun.setdefault(attempt, self.record.now())
             head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             for name, value in own + [
                     ("X-Samphirehill-Engine-Seal", f"{self.name}.{attempt}"),
