--- a/review/parts_3.py
+++ b/review/parts_3.py
@@ -235,6 +235,7 @@
         self.cut = []  # ids that were running when it ended
         self.running = set()
         self.extra = []  # headers of all answers
+        self.long_bytes = 0  # length of answers to paths with "long"
 
     async def start(self, host):
         self.host, self.port = host, free_port(host)
@@ -284,11 +285,14 @@
                 await asyncio.sleep(self.work_s)
             finally:
                 self.running.discard(attempt)
+        body = f"{self.name} ran {attempt}".encode()
+        if "/long" in request.first:
+            body = body.ljust(self.long_bytes, b".")
         writer.write(answer(
             200, [("X-Samphirehill-Attempt-Id", attempt),
                   ("X-Samphirehill-Engine-Seal", f"{self.name}.{attempt}"),
                   ("Keep-Alive", f"timeout={IDLE_S}"), *self.extra],
-            f"{self.name} ran {attempt}".encode()))
+            body))
         await writer.drain()
 
 
@@ -424,6 +428,7 @@
         self.staged = []
         self.work = 0
         self.cut_from_store = False
+        self.cut_from_entries = False  # silently; not from the other engines
         self.draining = False
         self.last_beat = 0.0
         self.snapshots = []
@@ -510,6 +515,10 @@
         try:
             while True:
                 request = await read_message(reader)
+                if self.cut_from_entries:
+                    # Nothing arrives, and nothing is answered.
+                    await asyncio.sleep(60)
+                    return
                 expected = request.get("X-Samphirehill-Expect-Instance")
                 if expected and expected != self.name:
                     writer.write(answer(421, [
@@ -696,6 +705,8 @@
                         "open", "closing"):
                     self.record(f"{attempt} cut off at {self.name}")
                     return writer.transport.abort()
+                while self.cut_from_entries:
+                    await asyncio.sleep(0.05)
                 event = f"id: {number}\ndata: {attempt}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
