--- a/review/12/case.py
+++ b/review/12/case.py
@@ -111,4 +111,4 @@
     return 1 if two else 0
 
 
-sys.exit(asyncio.run(asyncio.wait_for(main(), 110)))
+sys.exit(run_case(main, 110))
--- a/review/parts_3.py
+++ b/review/parts_3.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -742,3 +743,12 @@
                 store.remove("servers", engine.name)
                 engine.record(f"the store removes servers/{engine.name}")
         await asyncio.sleep(0.1)
+
+
+def run_case(main, limit_s):
+    """Returns the exit code of main, or 2 if it failed or took too long."""
+    try:
+        return asyncio.run(asyncio.wait_for(main(), limit_s))
+    except Exception as failed:
+        print(f"the case couldn't run: {failed!r}", file=sys.stderr)
+        return 2
