Log when and why an unlisted head counts as gone

The entries' logs show the probes of the head turn silent, the removal and the Join orders, but not what was concluded in between. Three conclusions lead to the same orders: no entry reaches the head, its machine refuses connections for 11 s, another life answers at its address. The log line "instance_belief state=gone cause=... unlisted_ms=..." and the counter heads_gone{cause} now tell them apart.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -85,6 +85,13 @@
   GroupPlanSettings Plan;
 };
 
+// Why an unlisted instance counts as gone.
+enum class GoneCause {
+  OtherLife,          // another life or instance answers at its address
+  RefusesConnections, // its machine refuses connections
+  Unreached,          // no entry reaches it
+};
+
 class GroupController {
 public:
   GroupController(TimerService &Timers, const Fleet &Instances,
@@ -165,6 +172,7 @@
     Instance Last; // its last entry
     TimePoint Since{};
     TimePoint ListedAt{}; // when the entry was last seen to change
+    bool Gone = false;    // when last checked by publishGoneHeads
   };
 
   void tick();
@@ -210,6 +218,11 @@
   Liveness livenessOf(const InstanceId &Id) const;
   Liveness livenessOfUnlisted(const InstanceId &Id,
                               const Unlisted &Missed) const;
+  // Returns why an unlisted instance counts as gone; nothing if it doesn't.
+  std::optional<GoneCause> goneCause(const InstanceId &Id,
+                                     const Unlisted &Missed) const;
+  // Logs and counts the unlisted heads that count as gone since the last call.
+  void publishGoneHeads();
 
   TimerService &Timers;
   const Fleet &Instances;
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -253,10 +253,19 @@
   auto Found = Probes.find(Id);
   if (Found == Probes.end() || Found->second.SentAt == TimePoint{})
     return Liveness::Unclear;
-  if (Found->second.Ended)
+  if (goneCause(Id, Missed))
     return Liveness::Gone;
-  if (!Found->second.Silent)
-    return Found->second.InProgress ? Liveness::Unclear : Liveness::Alive;
+  bool Answers = !Found->second.Silent && !Found->second.InProgress;
+  return Answers ? Liveness::Alive : Liveness::Unclear;
+}
+
+std::optional<GoneCause>
+GroupController::goneCause(const InstanceId &Id, const Unlisted &Missed) const {
+  auto Found = Probes.find(Id);
+  if (Found == Probes.end() || !Found->second.Silent)
+    return std::nullopt;
+  if (Found->second.Ended)
+    return GoneCause::OtherLife;
   TimePoint Now = Timers.now();
   Duration Wait =
       Found->second.Refused ? Settings.RefusingWait : Settings.UnlistedWait;
@@ -264,8 +273,9 @@
       Now - Found->second.SentAt > Settings.ConfirmedMaxAge ||
       !isZoneReachable(Missed.Last.Zone) || hasJustAnswered(Id) ||
       !isDeniedByAll(Census, Id))
-    return Liveness::Unclear;
-  return Liveness::Gone;
+    return std::nullopt;
+  return Found->second.Refused ? GoneCause::RefusesConnections
+                               : GoneCause::Unreached;
 }
 
 bool GroupController::mayReturn(const InstanceId &Id,
@@ -358,6 +368,7 @@
   if (!Config || !isDutyHolder())
     return;
   checkDisputed();
+  publishGoneHeads();
   bool First =
       Settings.FirstStart && Now - StartedAt < Settings.FirstStartLength;
   for (const auto &[Id, Service] : Config->Services) {
@@ -386,58 +397,6 @@
   }
 }
 
-void GroupController::publishModels(
-    const std::map<std::string, ModelSummary> &Before,
-    const std::map<std::string, ModelSummary> &Models) {
-  for (const auto &[Model, Summary] : Models) {
-    auto Found = Before.find(Model);
-    if (Found != Before.end() && Found->second == Summary)
-      continue;
-    spdlog::info("event=model_groups model={} serving={} forming={} wanted={} "
-                 "stranded={} free={} loading={}",
-                 Model, Summary.Serving, Summary.Forming, Summary.Wanted,
-                 Summary.Stranded, Summary.Free, Summary.Loading);
-    const char *Name = "model_groups";
-    Metrics.set(Name, {{"model", Model}, {"state", "serving"}},
-                Summary.Serving);
-    Metrics.set(Name, {{"model", Model}, {"state", "forming"}},
-                Summary.Forming);
-    Metrics.set(Name, {{"model", Model}, {"state", "wanted"}}, Summary.Wanted);
-    Metrics.set("stranded_engines", {{"model", Model}}, Summary.Stranded);
-  }
-}
-
-void GroupController::publishDemand(const ServiceId &Service,
-                                    const ExchangeState &Exchanges) {
-  Duration Age{}; // of the oldest news that counts
-  for (const auto &[Kind, Asked] : Work) {
-    if (Kind.Service != Service)
-      continue;
-    Age = std::max(Age, Timers.now() - Asked.At);
-    Metrics.set("zone_demand_places",
-                {{"model", Kind.Model}, {"zone", Kind.Zone.str()}},
-                Asked.Places);
-  }
-  for (const ModelSupply &Each : Exchanges.Supplies) {
-    Metrics.set("model_demand_places", {{"model", Each.Model}}, Each.Work);
-    Metrics.set("model_places", {{"model", Each.Model}},
-                static_cast<double>(Each.Groups) * Each.Slots);
-  }
-  for (const Exchange &Begun : Exchanges.Begun) {
-    Metrics.count("groups_given_up", "model", Begun.From);
-    for (const ModelSupply &Each : Exchanges.Supplies) {
-      if (Each.Model != Begun.From && Each.Model != Begun.To)
-        continue;
-      spdlog::info(
-          "event=groups_given_up domain={} from={} to={} given_up={} gained={} "
-          "model={} groups={} places={} demand={:.0f} demand_age_ms={}",
-          Begun.Domain, Begun.From, Begun.To, Begun.GivenUp, Begun.Gained,
-          Each.Model, Each.Groups, Each.Groups * Each.Slots, Each.Work,
-          toMilliseconds(Age));
-    }
-  }
-}
-
 void GroupController::sendOrder(const GroupOrder &Order) {
   if (Order.Kind == OrderKind::Check)
     return requestReport(Order.To);
