Move what is remembered of the heads of groups out of GroupPlan

GroupHeads holds the heads as last reported and the times of groups that come back or lack their head, as free functions over a plain struct.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -12,6 +12,7 @@
 #include "samphirehill/Serving/Configuration.h"
 #include "samphirehill/Serving/Fleet.h"
 #include "samphirehill/Serving/GroupExchange.h"
+#include "samphirehill/Serving/GroupHeads.h"
 
 #include <cstdint>
 #include <map>
@@ -155,12 +156,7 @@
   std::map<std::int64_t, Formation> Forming; // by epoch
   std::map<InstanceId, WeightLoad> Loading;
   std::map<std::string, TimePoint> OrderedAt; // by label of order and instance
-  std::map<std::int64_t, InstanceId> HeadOf;  // by epoch, as last reported
-  std::map<std::int64_t, TimePoint> HeadlessSince; // by epoch
-  // When a member of the group was last known, and when one was known again
-  // after a gap, by epoch.
-  std::map<std::int64_t, TimePoint> LastKnownAt;
-  std::map<std::int64_t, TimePoint> ReturnedAt;
+  GroupHeads Heads;
   std::map<InstanceId, JoinedModel> LastModel; // of the last group
   std::size_t KnownEngines = 0;
   TimePoint EnginesChangedAt{};
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -41,7 +41,7 @@
     State.Fence = std::max(State.Fence, State.FirstEpoch);
     eraseExpired();
     collectGroups();
-    eraseHeadlessTimes();
+    eraseHeadTimes();
     collectDomains();
     planQuotas(Domains, Service, GroupedEngines, State.Settings.SpareShare);
     if (FirstStart && isSettling())
@@ -124,17 +124,12 @@
     });
   }
 
-  // Erases the waiting times of groups that no engine reports any more.
-  void eraseHeadlessTimes() {
-    std::set<std::int64_t> Named;
+  void eraseHeadTimes() {
+    std::set<std::int64_t> Reported;
     for (const auto &[Key, Group] : Groups)
-      Named.insert(Key.second);
-    std::erase_if(State.ReturnedAt, [&](const auto &Entry) {
-      return Now - Entry.second > State.Settings.HeadReturnWait;
-    });
-    std::erase_if(State.HeadlessSince, [&](const auto &Entry) {
-      return !Named.contains(Entry.first);
-    });
+      Reported.insert(Key.second);
+    serving::eraseHeadTimes(State.Heads, Reported,
+                            State.Settings.HeadReturnWait, Now);
   }
 
   // Adds Order to the result, with its fencing token.
@@ -190,26 +185,19 @@
       repeatJoins(Forming);
   }
 
-  // Notes that members of the group are known, perhaps again after a gap.
+  // Notes whether members of the group are known, perhaps again after a gap.
   void noteReturn(std::int64_t Epoch, const ReportedGroup &Group) {
     bool Known = std::any_of(Group.ByRank.begin(), Group.ByRank.end(),
                              [](const auto &Member) {
                                return Member.second->State != Liveness::Gone;
                              });
-    if (!Known)
-      return;
-    auto [Last, IsNew] = State.LastKnownAt.try_emplace(Epoch, Now);
-    if (!IsNew && Now - Last->second > State.Settings.AbsenceGap)
-      State.ReturnedAt[Epoch] = Now;
-    Last->second = Now;
+    if (Known)
+      noteKnown(State.Heads, Epoch, State.Settings.AbsenceGap, Now);
   }
 
-  // Returns whether the group has come back so recently that its head may
-  // follow.
   bool mayHeadReturn(std::int64_t Epoch) const {
-    auto Found = State.ReturnedAt.find(Epoch);
-    return Found != State.ReturnedAt.end() &&
-           Now - Found->second < State.Settings.HeadReturnWait;
+    return serving::mayHeadReturn(State.Heads, Epoch,
+                                  State.Settings.HeadReturnWait, Now);
   }
 
   static bool isMember(const PlannedInstance &Engine,
@@ -280,8 +268,8 @@
     if (FirstStart)
       return false;
     if (Head) {
-      State.HeadlessSince.erase(Key.second);
-      State.HeadOf[Key.second] = Head->Listed.Id;
+      State.Heads.HeadlessSince.erase(Key.second);
+      State.Heads.HeadOf[Key.second] = Head->Listed.Id;
       if (Head->State == Liveness::Gone)
         return mayHeadReturn(Key.second);
       if (Head->State != Liveness::Alive || Head->Confirmed)
@@ -289,8 +277,8 @@
       requestReport(*Head);
       return true;
     }
-    auto Recorded = State.HeadOf.find(Key.second);
-    if (Recorded != State.HeadOf.end()) {
+    auto Recorded = State.Heads.HeadOf.find(Key.second);
+    if (Recorded != State.Heads.HeadOf.end()) {
       const PlannedInstance *LastHead = findEngine(Recorded->second);
       bool Left =
           LastHead && LastHead->LeftEpoch == Key.second && isFenced(*LastHead);
@@ -314,7 +302,7 @@
     if (isFenced(LastHead))
       return false;
     TimePoint Since =
-        State.HeadlessSince.try_emplace(Key.second, Now).first->second;
+        State.Heads.HeadlessSince.try_emplace(Key.second, Now).first->second;
     if (Now - Since >= State.Settings.HeadlessWait)
       return false;
     if (recordIfDue("leave " + LastHead.Listed.Id.str() + Key.first))
@@ -339,7 +327,7 @@
         requestReport(Each);
     }
     TimePoint Since =
-        State.HeadlessSince.try_emplace(Key.second, Now).first->second;
+        State.Heads.HeadlessSince.try_emplace(Key.second, Now).first->second;
     Duration Waited = Now - Since;
     Duration Wait = State.Settings.HeadlessWait;
     return Waited < Wait || (!AllReported && Waited < 2 * Wait);
@@ -385,7 +373,7 @@
     for (const auto &[Rank, Each] : Group.ByRank)
       Assigned.insert(Each->Listed.Id);
     countGroup(Head, Group.Model);
-    State.HeadOf[Key.second] = Head.Listed.Id;
+    State.Heads.HeadOf[Key.second] = Head.Listed.Id;
     if (isServing(Head)) {
       State.Forming.erase(Key.second);
       ++Summaries[Group.Model].Serving;
@@ -424,7 +412,7 @@
     Lost = Lost || !Model ||
            Group.ByRank.size() < static_cast<std::size_t>(Model->GroupSize);
     State.Forming.erase(Key.second);
-    State.HeadOf[Key.second] = Head.Listed.Id;
+    State.Heads.HeadOf[Key.second] = Head.Listed.Id;
     bool OnlyZoneOut = std::all_of(
         Group.ByRank.begin(), Group.ByRank.end(), [](const auto &Member) {
           return Member.second->ZoneOut && !Member.second->Listed.Draining &&
