Order engines to join a group only once they report to be in none

Its member was ordered into another group 1.6 s after the head's entry was removed, so the head, open and with streams at work, stood still and broke 4 s later. Cause: the holder decided that a member was free by what it believed of the member's head. A head that nobody reaches can't be told from one that has ended, whoever is asked and however long one waits; the Leave order was only sent afterwards, to members that were not needed. Fix: members of a group that has ended are ordered to leave it, and are free once they have themselves reported, later than that order, that they are in no group. One function, mayJoin, is asked for each Join order: by the plan, for repeated joins, and at the first start, where an entry that starts again had skipped the reports. What is known of the head decides only when its members are told to leave. A group that has lost a member has its other members told together with the head. Related paths held by the same function: a head that refuses connections or seems to have another life (LostHeadTest), a head that a new holder has never seen, late orders of an earlier holder (RepeatsNoJoinToAnEngineInAnotherGroup), an entry that starts again during the first start (AsksForReportsWhenGroupsExistAtTheFirstStart). Ruled out: longer waits (how long a cut lasts isn't known); one more source to ask (four earlier incidents each added one); holding a member until its old head must have broken: the rule speaks of the head of its group, and a member that has left has none. Changed tests: KeepsReturnedMemberForItsHeadThatMayReturnToo allows no Leave either while the head may return; DoesNotReassignMembersWhileUnclearHeadMayServe and FencesFormerHeadBeforeReassigningMembers expect the Leave, and no Join before it is reported; memberReassigned carries out Leave orders.

--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -40,6 +40,7 @@
   std::vector<GroupOrder> run() {
     State.Fence = std::max(State.Fence, State.FirstEpoch);
     eraseExpired();
+    NoneFormedBefore = FirstStart && !hasGroupOfEarlierHolder();
     collectGroups();
     eraseHeadTimes();
     collectDomains();
@@ -51,8 +52,7 @@
       formGroups(Each);
     for (auto &[Name, Each] : Domains)
       stageWeights(Each);
-    for (const auto &[Name, Each] : Domains)
-      releaseSurvivors(Each);
+    releaseMembers();
     exchangeGroups();
     updateSummaries();
     return std::move(Orders);
@@ -81,11 +81,28 @@
            !Engine.ZoneOut;
   }
 
-  // Returns whether the engine may join another group.
+  // Returns whether the engine may join another group once it is in none.
   static bool isUsable(const PlannedInstance &Engine) {
     return mayStay(Engine) && !Engine.Lapsed;
   }
 
+  // Returns whether the engine may be ordered to join a group now. It must have
+  // said itself that it is in none: whether the head of its last group still
+  // serves can't be known for certain.
+  bool mayJoin(const PlannedInstance &Engine) const {
+    return isUsable(Engine) && !Engine.Listed.Group &&
+           (Engine.Confirmed || NoneFormedBefore);
+  }
+
+  // Returns whether an engine is in a group that another holder has formed.
+  bool hasGroupOfEarlierHolder() const {
+    return std::any_of(Engines.begin(), Engines.end(),
+                       [&](const PlannedInstance &Each) {
+                         return Each.Listed.Group &&
+                                Each.Listed.Group->Epoch < State.FirstEpoch;
+                       });
+  }
+
   // Returns whether the number of engines has changed within SettleTime.
   bool isSettling() {
     if (State.KnownEngines != Engines.size()) {
@@ -207,7 +224,7 @@
   }
 
   // Decides how Group continues. Its members are assigned if it serves or
-  // forms, stranded if its head may still serve, and free otherwise.
+  // forms, stranded if its head may still serve, and to be released otherwise.
   void updateGroup(const GroupKey &Key, const ReportedGroup &Group) {
     const ModelShape *Model = findModel(Service, Group.Model);
     bool Forming = State.Forming.contains(Key.second);
@@ -265,8 +282,6 @@
   // it.
   bool headMayServeUnseen(const GroupKey &Key, const ReportedGroup &Group,
                           const PlannedInstance *Head) {
-    if (FirstStart)
-      return false;
     if (Head) {
       State.Heads.HeadlessSince.erase(Key.second);
       State.Heads.HeadOf[Key.second] = Head->Listed.Id;
@@ -397,17 +412,15 @@
     return Members;
   }
 
-  // Ends a group whose head serves or may serve. Its members join no other
-  // group as long as that is so. The head is ordered to finish running requests
-  // (Close), or to stop at once (Leave) if a member is lost or the head doesn't
-  // serve. No order is given if the only reason is that operators took the zone
-  // out of service.
+  // Ends a group whose head serves or may serve. The head is ordered to finish
+  // running requests (Close), and the members stay meanwhile. If a member is
+  // lost or the head doesn't serve, all are ordered to leave at once. No order
+  // is given if the only reason is that operators took the zone out of service.
   void endGroup(const GroupKey &Key, const ReportedGroup &Group,
                 const PlannedInstance &Head) {
     bool Lost = false;
     for (const auto &[Rank, Each] : Group.ByRank)
       Lost = Lost || Each->State != Liveness::Alive;
-    markStranded(Group);
     const ModelShape *Model = findModel(Service, Group.Model);
     Lost = Lost || !Model ||
            Group.ByRank.size() < static_cast<std::size_t>(Model->GroupSize);
@@ -418,15 +431,27 @@
           return Member.second->ZoneOut && !Member.second->Listed.Draining &&
                  Member.second->State == Liveness::Alive;
         });
-    if ((OnlyZoneOut && !Lost) || Head.State != Liveness::Alive)
-      return;
-    if (Head.Listed.Group->Phase == MemberPhase::Closing && !Lost)
-      return;
     bool Cut = Lost || !isServing(Head);
-    OrderKind Kind = Cut ? OrderKind::Leave : OrderKind::Close;
-    if (recordIfDue((Cut ? "leave " : "close ") + Head.Listed.Id.str() +
-                    Key.first))
-      addOrder({Kind, Head.Listed.Id, Key.first, Key.second, Group.Model});
+    bool Closing = Head.Listed.Group->Phase == MemberPhase::Closing;
+    bool Waits = (OnlyZoneOut && !Lost) || Head.State != Liveness::Alive ||
+                 (Closing && !Lost);
+    if (Waits || !Cut)
+      markStranded(Group);
+    if (Waits)
+      return;
+    if (Cut)
+      return release(Head);
+    if (recordIfDue("close " + Head.Listed.Id.str() + Key.first))
+      addOrder({OrderKind::Close, Head.Listed.Id, Key.first, Key.second,
+                Group.Model});
+  }
+
+  // Orders the engine to leave its group.
+  void release(const PlannedInstance &Engine) {
+    const Membership &Place = *Engine.Listed.Group;
+    if (recordIfDue("leave " + Engine.Listed.Id.str() + Place.Group))
+      addOrder({OrderKind::Leave, Engine.Listed.Id, Place.Group, Place.Epoch,
+                modelOfGroup(Place.Group)});
   }
 
   void countGroup(const PlannedInstance &Head, const std::string &Model) {
@@ -450,11 +475,16 @@
       Any = true;
       if (isMember(*Each, Forming) || !isUsable(*Each))
         continue;
-      if (recordIfDue(joinLabel(Id, Forming)))
-        addOrder(joinOrder(Forming, Id));
-      else if (Now - State.OrderedAt.at(joinLabel(Id, Forming)) >=
-               State.Settings.JoinReportDelay)
+      if (Each->Listed.Group) {
+        // Late orders of an earlier holder made it join another group.
+        if (!Stranded.contains(Id))
+          Releasing.push_back(Each);
+        continue;
+      }
+      if (mayReportJoin(joinLabel(Id, Forming)))
         requestReport(*Each);
+      if (mayJoin(*Each) && recordIfDue(joinLabel(Id, Forming)))
+        addOrder(joinOrder(Forming, Id));
     }
     bool Counted = Groups.contains({Forming.Group, Forming.Epoch}) &&
                    allMembersIn(Forming);
@@ -465,6 +495,13 @@
     }
   }
 
+  // Returns whether the engine's report should show by now that it has joined.
+  bool mayReportJoin(const std::string &Label) const {
+    auto Found = State.OrderedAt.find(Label);
+    return Found == State.OrderedAt.end() ||
+           Now - Found->second >= State.Settings.JoinReportDelay;
+  }
+
   static std::string joinLabel(const InstanceId &Id, const Formation &Forming) {
     return "join " + Id.str() + Forming.Group;
   }
@@ -505,7 +542,11 @@
       // complete the group again.
       if (Assigned.contains(Each.Listed.Id))
         ++Domain.InGroups;
-      else if (!Stranded.contains(Each.Listed.Id))
+      else if (Stranded.contains(Each.Listed.Id))
+        continue;
+      else if (Each.Listed.Group)
+        Releasing.push_back(&Each);
+      else
         Domain.Free.push_back(&Each);
     }
   }
@@ -545,20 +586,20 @@
     }
     sortCandidates(State, Ready, Model);
     Ready.resize(Size);
-    if (!FirstStart && !allConfirmed(Domain, Ready))
+    if (!allMayJoin(Domain, Ready))
       return false;
     startForming(Domain, Model, Ready);
     return true;
   }
 
-  // Returns whether all Chosen have just reported their state themselves. If
-  // not, the missing reports are asked for, and none of Chosen is used for
-  // another group before they arrive.
-  bool allConfirmed(EngineDomain &Domain,
-                    const std::vector<const PlannedInstance *> &Chosen) {
+  // Returns whether all Chosen may join a group now. If not, the missing
+  // reports are asked for, and none of Chosen is used for another group before
+  // they arrive.
+  bool allMayJoin(EngineDomain &Domain,
+                  const std::vector<const PlannedInstance *> &Chosen) {
     bool All = true;
     for (const PlannedInstance *Each : Chosen) {
-      if (Each->Confirmed)
+      if (mayJoin(*Each))
         continue;
       requestReport(*Each);
       All = false;
@@ -649,16 +690,12 @@
     }
   }
 
-  // Orders the free members of a group that has ended to leave it, so that
-  // another holder of the duty need not wait for a head that it has never seen.
-  void releaseSurvivors(const EngineDomain &Domain) {
-    for (const PlannedInstance *Each : Domain.Free) {
-      if (!Each->Listed.Group)
-        continue;
-      const Membership &Place = *Each->Listed.Group;
-      if (recordIfDue("leave " + Each->Listed.Id.str() + Place.Group))
-        addOrder({OrderKind::Leave, Each->Listed.Id, Place.Group, Place.Epoch,
-                  modelOfGroup(Place.Group)});
+  // Orders the remaining members of groups that have ended to leave them. They
+  // are free once they report that they have left.
+  void releaseMembers() {
+    for (const PlannedInstance *Each : Releasing) {
+      ++Summaries[modelOfGroup(Each->Listed.Group->Group)].Stranded;
+      release(*Each);
     }
   }
 
@@ -667,6 +704,7 @@
   const ServiceShape Service; // with the shares in force
   const EngineShape &Shape;
   bool FirstStart;
+  bool NoneFormedBefore = false; // the system has formed no group yet
   TimePoint Now;
   std::map<InstanceId, const PlannedInstance *> ById;
   std::map<GroupKey, ReportedGroup> Groups;
@@ -676,6 +714,7 @@
   std::map<std::string, ModelSummary> Summaries; // by model
   std::set<InstanceId> Assigned;                 // to groups that serve or form
   std::set<InstanceId> Stranded; // in broken groups whose head may serve
+  std::vector<const PlannedInstance *> Releasing; // in groups that have ended
   std::vector<GroupOrder> Orders;
 };
 
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -76,6 +76,8 @@
     Settings.ProbeInterval = milliseconds(50);
     Settings.UnlistedWait = milliseconds(200);
     Settings.ReturnWait = milliseconds(300);
+    if (RefusingWait > Duration::zero())
+      Settings.RefusingWait = RefusingWait;
     GroupController Controller(Timers, Instances, Book, Peers, Metrics, Store,
                                Calls, Settings);
     Begin(Controller);
@@ -123,6 +125,14 @@
   // Returns whether the head's member was ordered into another group within
   // Limit.
   bool memberReassigned(ResultCode Failure, Duration Limit) {
+    OnOrder = [this](const GroupOrder &Order) {
+      auto Found = Instances.Instances.find(Order.To);
+      if (Order.Kind != OrderKind::Leave || Found == Instances.Instances.end())
+        return;
+      Instance Left = Found->second.Listed;
+      Left.Group.reset();
+      add(Left);
+    };
     runController(
         [&](const Instance &To) -> Outcome<Instance> {
           if (To.Id == InstanceId("a"))
@@ -146,6 +156,7 @@
   std::vector<GroupOrder> Orders;
   std::function<void(const GroupOrder &)> OnOrder;
   std::function<void(GroupController &)> OnEnd; // after the run
+  Duration RefusingWait{}; // if above zero, in place of the default
   std::optional<asio::ip::udp::socket> PeerSocket;
   TimerSubscription PeerTimer;
 };
@@ -376,5 +387,40 @@
   EXPECT_EQ(JoinsWhileHeadServes, 0);
 }
 
+// What the holder learns when it asks for the state of a head that is open and
+// that it can't tell from one that has ended.
+class GroupControllerLostHeadTest
+    : public GroupControllerCutTest,
+      public testing::WithParamInterface<ResultCode> {};
+
+// Guards against a member that joins another group while the head of its group
+// is open but can't be reached, or seems to have ended (TWO).
+TEST_P(GroupControllerLostHeadTest, MemberLeavesBeforeItJoinsAnotherGroup) {
+  Members["small.7"] = {InstanceId("a"), InstanceId("b")};
+  State.at(InstanceId("a")) = member("a", "small.7", 7, 0, MemberPhase::Open);
+  State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  add(State.at(InstanceId("b")));
+  Instances.Instances.erase(InstanceId("a"));
+  RefusingWait = milliseconds(200);
+  runController(
+      [&](const Instance &To) -> Outcome<Instance> {
+        if (To.Id == InstanceId("a"))
+          return Error{GetParam(), "head"};
+        return State.at(To.Id);
+      },
+      seconds(5), OrderKind::Open,
+      [&](GroupController &Controller) {
+        unlist(Controller, State.at(InstanceId("a")));
+      });
+  EXPECT_EQ(State.at(InstanceId("a")).Group->Phase, MemberPhase::Open);
+  EXPECT_EQ(JoinsWhileHeadServes, 0);
+  EXPECT_TRUE(wasOrdered(OrderKind::Open)); // of the member and the spare
+}
+
+INSTANTIATE_TEST_SUITE_P(Failures, GroupControllerLostHeadTest,
+                         testing::Values(ResultCode::Timeout,
+                                         ResultCode::NotFound,
+                                         ResultCode::ConnectFailed));
+
 } // namespace
 } // namespace samphirehill::serving
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace samphirehill::serving {
 namespace {
@@ -22,6 +23,13 @@
   }
 }
 
+std::ptrdiff_t countOrders(const std::vector<GroupOrder> &Orders,
+                           OrderKind Kind) {
+  return std::count_if(
+      Orders.begin(), Orders.end(),
+      [Kind](const GroupOrder &Order) { return Order.Kind == Kind; });
+}
+
 TEST(GroupPlanTest, FormsGroupsByShareAtTheFirstStart) {
   GroupWorld World(6, 8);
   GroupPlanState State;
@@ -102,24 +110,34 @@
   }
   GroupPlanState State;
   TimePoint Now{seconds(10)};
-  auto Joins = [&](const std::vector<PlannedInstance> &Returned,
-                   Duration Length) {
+  // Returns the orders of Kind to the members, which leave when ordered to.
+  auto Ordered = [&](OrderKind Kind, std::vector<PlannedInstance> Returned,
+                     Duration Length) {
     int Count = 0;
-    std::vector<PlannedInstance> Engines = Spares;
-    Engines.insert(Engines.end(), Returned.begin(), Returned.end());
     for (TimePoint End = Now + Length; Now < End; Now += Tick) {
+      std::vector<PlannedInstance> Engines = Spares;
+      Engines.insert(Engines.end(), Returned.begin(), Returned.end());
       for (const GroupOrder &Order :
-           planGroups(State, Engines, poolShape(), false, Now))
-        Count += Order.Kind == OrderKind::Join && Order.To.str() < "e";
+           planGroups(State, Engines, poolShape(), false, Now)) {
+        for (PlannedInstance &Each : Returned) {
+          if (Each.Listed.Id != Order.To)
+            continue;
+          Count += Order.Kind == Kind;
+          if (Order.Kind == OrderKind::Leave)
+            Each.Listed.Group.reset();
+        }
+      }
     }
     return Count;
   };
-  EXPECT_EQ(Joins(Group, seconds(2)), 0);
-  EXPECT_EQ(Joins({}, seconds(27)), 0);
-  EXPECT_EQ(Joins({Group[1]}, seconds(2)), 0);
-  EXPECT_EQ(Joins(Group, seconds(2)), 0);
-  EXPECT_EQ(Joins({}, seconds(27)), 0);
-  EXPECT_GT(Joins({Group[1]}, seconds(10)), 0); // the head doesn't return
+  const OrderKind Leave = OrderKind::Leave;
+  EXPECT_EQ(Ordered(Leave, Group, seconds(2)), 0);
+  EXPECT_EQ(Ordered(Leave, {}, seconds(27)), 0);
+  EXPECT_EQ(Ordered(Leave, {Group[1]}, seconds(2)), 0);
+  EXPECT_EQ(Ordered(Leave, Group, seconds(2)), 0);
+  EXPECT_EQ(Ordered(Leave, {}, seconds(27)), 0);
+  // The head doesn't return.
+  EXPECT_GT(Ordered(OrderKind::Join, {Group[1]}, seconds(10)), 0);
 }
 
 // Incident SHORT: the spares that would have completed the group were ordered
@@ -233,11 +251,111 @@
   Engines[0].Listed.Draining = true;
   std::vector<GroupOrder> Orders =
       planGroups(State, Engines, OneModel, false, Now);
-  EXPECT_EQ(std::count_if(Orders.begin(), Orders.end(),
-                          [](const GroupOrder &Order) {
-                            return Order.Kind == OrderKind::Join;
-                          }),
-            2);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Leave), 1);
+  Engines[1].Listed.Group.reset();
+  Now += Tick;
+  Orders = planGroups(State, Engines, OneModel, false, Now);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 2);
+}
+
+// Guards against a member that joins another group while a head that no entry
+// reaches, and that can't be told from one that has ended, is open (TWO).
+TEST(GroupPlanTest, ReleasesMembersOfUnreachableHeadBeforeTheyJoinAgain) {
+  GroupWorld World(1, 8);
+  GroupPlanState State;
+  State.Settings.SpareShare = 0.25; // 4 + 2 engines in groups, 2 spares
+  run(World, State, 210, true);
+  InstanceId Head = *World.someOpenHead("large");
+  World.cutOff(Head);
+  ASSERT_EQ(World.openGroups("large"), 0);
+  run(World, State, 60);
+  EXPECT_EQ(World.openGroups("large"), 1);
+  World.reconnect(Head);
+  run(World, State, 60);
+  EXPECT_EQ(World.openGroups("large"), 1);
+  EXPECT_EQ(World.Broken, std::vector<std::string>());
+}
+
+// Guards against a member that joins another group (TWO) because its Leave
+// order took effect late or not at all.
+TEST(GroupPlanTest, OrdersNoJoinBeforeTheMemberReportsThatItHasLeft) {
+  GroupPlanState State;
+  ServiceShape OneModel = poolShape();
+  OneModel.Engine->Models = {poolShape().Engine->Models[1]};
+  Instance Spare = engine("c", "north-d0");
+  Spare.Staged = {"small"};
+  std::vector<PlannedInstance> Engines{
+      {member("a", "small.7", 7, 0, MemberPhase::Open), Liveness::Gone},
+      {member("b", "small.7", 7, 1, MemberPhase::Ready)},
+      {Spare}};
+  Engines[0].Listed.Draining = true;
+  Engines[1].Confirmed = Engines[2].Confirmed = true;
+  TimePoint Now{seconds(10)};
+  std::ptrdiff_t Leaves = 0;
+  for (int Round = 0; Round < 100; ++Round, Now += Tick) {
+    std::vector<GroupOrder> Orders =
+        planGroups(State, Engines, OneModel, false, Now);
+    EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+    Leaves += countOrders(Orders, OrderKind::Leave);
+  }
+  EXPECT_GE(Leaves, 10); // repeated each 1.2 s
+  Engines[1].Listed.Group.reset();
+  Engines[1].Confirmed = false; // its entry alone is no proof
+  std::vector<GroupOrder> Orders =
+      planGroups(State, Engines, OneModel, false, Now);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Check), 1);
+  Engines[1].Confirmed = true;
+  Orders = planGroups(State, Engines, OneModel, false, Now + Tick);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 2);
+}
+
+// Guards against a Join order that is repeated to an engine which late orders
+// of an earlier holder have brought into another group (TWO).
+TEST(GroupPlanTest, RepeatsNoJoinToAnEngineInAnotherGroup) {
+  GroupPlanState State;
+  State.NextEpoch = State.FirstEpoch = 100'000;
+  State.Forming[100'001] = {"small.100001",
+                            100'001,
+                            "small",
+                            {InstanceId("a"), InstanceId("b")},
+                            TimePoint{seconds(20)}};
+  std::vector<PlannedInstance> Engines{
+      {engine("a", "north-d0")},
+      {member("b", "small.7", 7, 1, MemberPhase::Ready)}};
+  Engines[0].Confirmed = Engines[1].Confirmed = true;
+  for (const GroupOrder &Each :
+       planGroups(State, Engines, poolShape(), false, TimePoint{seconds(10)})) {
+    EXPECT_FALSE(Each.Kind == OrderKind::Join && Each.To == InstanceId("b"));
+  }
+}
+
+// Guards against engines that are taken out of serving groups (TWO): an entry
+// starts again during the first start of the system, and the list shows them
+// as they were before they joined.
+TEST(GroupPlanTest, AsksForReportsWhenGroupsExistAtTheFirstStart) {
+  GroupPlanState State;
+  State.NextEpoch = State.FirstEpoch = 200'000;
+  ServiceShape OneModel = poolShape();
+  OneModel.Engine->Models = {poolShape().Engine->Models[1]};
+  std::vector<PlannedInstance> Engines{
+      {member("a", "small.100001", 100'001, 0, MemberPhase::Open)},
+      {member("b", "small.100001", 100'001, 1, MemberPhase::Ready)}};
+  for (const char *Name : {"c", "d"}) {
+    Instance Free = engine(Name, "north-d0");
+    Free.Staged = {"small"};
+    Engines.push_back({Free});
+  }
+  std::vector<GroupOrder> Orders;
+  for (int Round = 0; Round < 20; ++Round) {
+    for (const GroupOrder &Each :
+         planGroups(State, Engines, OneModel, true,
+                    TimePoint{seconds(10)} + Round * Tick))
+      Orders.push_back(Each);
+  }
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+  EXPECT_GT(countOrders(Orders, OrderKind::Check), 0);
 }
 
 // An entry that starts during an outage of the store may find a head's entry
@@ -288,6 +406,14 @@
   Engines[0].AcceptedFence = Orders[0].Fence;
   Now += Tick;
   Orders = planGroups(State, Engines, OneModel, false, Now);
+  EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+  EXPECT_TRUE(
+      std::any_of(Orders.begin(), Orders.end(), [](const GroupOrder &Order) {
+        return Order.Kind == OrderKind::Leave && Order.To == InstanceId("b");
+      }));
+  Engines[1].Listed.Group.reset();
+  Now += Tick;
+  Orders = planGroups(State, Engines, OneModel, false, Now);
   EXPECT_TRUE(
       std::any_of(Orders.begin(), Orders.end(), [](const GroupOrder &Order) {
         return Order.Kind == OrderKind::Join && Order.To == InstanceId("b");
@@ -344,13 +470,14 @@
 enum class OrderTiming { Immediate, SomeLate };
 
 // Plays a random history of failures, drains, outdated entries of the list,
-// late orders, changes of the demand and of the duty's holder. A new holder
-// starts without state.
+// late orders, engines that are cut off, changes of the demand and of the
+// duty's holder. A new holder starts without state.
 void playHistory(GroupWorld &World, OrderTiming Timing) {
   GroupPlanState State;
   run(World, State, 100, true);
   std::int64_t Term = 1;
   ModelWork Asked;
+  std::vector<InstanceId> CutOff;
   for (int Step = 0; Step < 60; ++Step) {
     int Action = *rc::gen::inRange(0, 12);
     auto Which = *rc::gen::inRange<std::size_t>(0, 1'000);
@@ -372,6 +499,15 @@
     if (Action == 6)
       Asked = {{"large", *rc::gen::inRange(1, 400)},
                {"small", *rc::gen::inRange(1, 400)}};
+    if (Action == 7 && Member) {
+      World.cutOff(*Member);
+      CutOff.push_back(*Member);
+    }
+    if (Action == 8 && !CutOff.empty()) {
+      World.reconnect(CutOff[Which % CutOff.size()]);
+      CutOff.erase(CutOff.begin() +
+                   static_cast<std::ptrdiff_t>(Which % CutOff.size()));
+    }
     State.Exchanges.Asked = Asked;
     run(World, State, 4);
   }
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -28,17 +28,19 @@
 std::vector<PlannedInstance> GroupWorld::planned() {
   std::vector<PlannedInstance> Planned;
   for (auto &[Id, Each] : Engines) {
-    if (Each.Dead && Now - Each.DiedAt > ListedAfterFailure * 2)
+    bool Unseen = isUnseen(Each);
+    Duration UnseenFor = Unseen ? Now - Each.UnseenSince : Duration::zero();
+    if (UnseenFor > ListedAfterFailure * 2)
       continue;
     PlannedInstance Seen;
     auto Old = Frozen.find(Id);
-    Seen.Confirmed = !Each.Dead && Now - Each.ConfirmedAt < seconds(1);
+    Seen.Confirmed = !Unseen && Now - Each.ConfirmedAt < seconds(1);
     bool Stale = Old != Frozen.end() && !Seen.Confirmed;
     Seen.Listed = Stale ? Old->second : Each.Actual;
-    if (Each.Dead && Now - Each.DiedAt > ListedAfterFailure) {
+    if (UnseenFor > ListedAfterFailure) {
       Seen.State = Liveness::Gone;
       Seen.Listed.Draining = true;
-    } else if (Each.Dead && Now - Each.DiedAt > ProbeDetection) {
+    } else if (UnseenFor > ProbeDetection) {
       Seen.State = Liveness::Unclear;
     }
     Seen.ZoneOut = ZonesOut.contains(Each.Actual.Zone);
@@ -143,7 +145,7 @@
 // PARTIAL: a group opens only when all its members are ready.
 bool GroupWorld::execute(const GroupOrder &Order) {
   Engine &To = Engines.at(Order.To);
-  if (To.Dead)
+  if (isUnseen(To))
     return false;
   if (Order.Kind != OrderKind::Check) {
     if (Order.Fence < To.HighestFence)
@@ -200,7 +202,20 @@
   if (Killed.Dead)
     return;
   Killed.Dead = true;
-  Killed.DiedAt = Now;
+  if (!Killed.CutOff)
+    Killed.UnseenSince = Now;
+}
+
+void GroupWorld::cutOff(const InstanceId &Id) {
+  Engine &Cut = Engines.at(Id);
+  if (isUnseen(Cut))
+    return;
+  Cut.CutOff = true;
+  Cut.UnseenSince = Now;
+}
+
+void GroupWorld::reconnect(const InstanceId &Id) {
+  Engines.at(Id).CutOff = false;
 }
 
 void GroupWorld::freezeListing(const InstanceId &Id) {
@@ -215,7 +230,7 @@
   int Count = 0;
   for (const auto &[Id, Each] : Engines) {
     const std::optional<Membership> &Member = Each.Actual.Group;
-    if (!Each.Dead && Member && Member->Rank == 0 &&
+    if (!isUnseen(Each) && Member && Member->Rank == 0 &&
         Member->Phase == MemberPhase::Open &&
         modelOfGroup(Member->Group) == Model)
       ++Count;
@@ -249,6 +264,18 @@
   return Members[Which % Members.size()];
 }
 
+std::optional<InstanceId>
+GroupWorld::someOpenHead(const std::string &Model) const {
+  for (const auto &[Id, Each] : Engines) {
+    const std::optional<Membership> &Member = Each.Actual.Group;
+    if (!Each.Dead && Member && Member->Rank == 0 &&
+        Member->Phase == MemberPhase::Open &&
+        modelOfGroup(Member->Group) == Model)
+      return Id;
+  }
+  return std::nullopt;
+}
+
 std::optional<InstanceId>
 GroupWorld::someFollower(const std::string &Model) const {
   for (const auto &[Id, Each] : Engines) {
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -27,6 +27,10 @@
 
   // Stops an engine for good. The list shows it for a while longer.
   void kill(const InstanceId &Id);
+  // Cuts an engine off from the list and from all entries, or connects it
+  // again. It goes on as it is, and its group with it.
+  void cutOff(const InstanceId &Id);
+  void reconnect(const InstanceId &Id);
   // From now on the list shows the engine's present state, however that
   // changes, until thawListings is called.
   void freezeListing(const InstanceId &Id);
@@ -45,6 +49,8 @@
   std::vector<InstanceId> alive() const;
   // Returns a member of any group, selected by Which, or nothing.
   std::optional<InstanceId> someMember(std::size_t Which) const;
+  // Returns the head of an open group of Model, or nothing.
+  std::optional<InstanceId> someOpenHead(const std::string &Model) const;
   // Returns a member of a group of Model that isn't its head, or nothing.
   std::optional<InstanceId> someFollower(const std::string &Model) const;
 
@@ -58,7 +64,8 @@
   struct Engine {
     Instance Actual;
     bool Dead = false;
-    TimePoint DiedAt{};
+    bool CutOff = false;
+    TimePoint UnseenSince{}; // if it is dead or cut off
     TimePoint JoinEnds{};
     TimePoint OpenEnds{};
     TimePoint LoadEnds{};
@@ -78,6 +85,7 @@
   std::vector<PlannedInstance> planned();
   // Returns whether the engine accepted the order.
   bool execute(const GroupOrder &Order);
+  static bool isUnseen(const Engine &Each) { return Each.Dead || Each.CutOff; }
   void noteAnswered(const GroupOrder &Order);
   void join(Engine &To, const GroupOrder &Order);
   const Engine *headOf(const Membership &Place) const;
