Ask members that have left for their state as soon as a report can show it

Price of the fix before: a member waited for the next regular probe after it had left, as reports from before the Leave don't show it and probes are 400 ms apart. Now a planning run is scheduled for when a report can show that the engine has left, and an order to an engine ends the wait for its next probe.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -61,7 +61,8 @@
   // The entry doesn't try to take the duty until its peers are known, or until
   // this time has passed since its start.
   Duration PeersWait = milliseconds(1'500);
-  // Minimum time between two probes of an instance.
+  // Minimum time between two probes of an instance, unless an order was given
+  // to it since.
   Duration ProbeInterval = milliseconds(400);
   // A group continues for this long after a member has left the list without
   // having announced that, while the member answers probes: it may have lost
@@ -202,6 +203,9 @@
   std::vector<PlannedInstance> plannedInstances(const ServiceId &Service) const;
   // Probes the instance, so that the next planning has its confirmed state.
   void requestReport(const InstanceId &Id);
+  // Schedules a planning run for when a report of the instance, which has
+  // agreed to leave its group, shows that it has left.
+  void scheduleReportOfLeave(const InstanceId &Id);
   // Fills in the orders that Planned is known to have accepted in this life.
   void fillAccepted(PlannedInstance &Planned) const;
   const EngineEvidence &evidenceOf(const InstanceId &Id) const;
@@ -243,6 +247,7 @@
   ReachCensus Census; // as of the planning run
   TimerSubscription Timer;
   TimerSubscription ScheduledPlan;
+  TimerSubscription LeaveReported;
   TimePoint StartedAt{};
   bool HeldDuty = false; // when last checked by stepLease
   bool PeersKnown = false;
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -433,6 +433,8 @@
           To.AcceptedFence = Order.Fence;
           To.FencedLife = Life;
           To.LeftEpoch = Order.Kind == OrderKind::Leave ? Order.Epoch : 0;
+          if (Order.Kind == OrderKind::Leave)
+            scheduleReportOfLeave(Order.To);
           return;
         }
         spdlog::warn("event=order_not_taken kind={} instance={} epoch={} "
@@ -460,6 +462,14 @@
       });
 }
 
+void GroupController::scheduleReportOfLeave(const InstanceId &Id) {
+  auto Found = Instances.Instances.find(Id);
+  if (Found == Instances.Instances.end())
+    return;
+  LeaveReported =
+      Timers.after(reportLag(Found->second.Listed), [this] { schedulePlan(); });
+}
+
 void GroupController::requestReport(const InstanceId &Id) {
   auto Found = Instances.Instances.find(Id);
   auto Unlisted = Missing.find(Id);
@@ -533,13 +543,18 @@
   if (quietUntil(Book.Notices, {Target.Id, Target.BornMilliseconds}) >
       Timers.nowWithSuspension())
     return;
-  if (Current.InProgress || (Current.SentAt != TimePoint{} &&
-                             Now - Current.SentAt < Settings.ProbeInterval))
+  Duration Lag = reportLag(Target);
+  // Reports asked for earlier may show the state before the last order.
+  TimePoint ShowsOrderFrom = Current.OrderedAt + Lag;
+  bool Outdated = Current.OrderedAt != TimePoint{} && Now > ShowsOrderFrom &&
+                  Current.SentAt <= ShowsOrderFrom;
+  bool Recent = Current.SentAt != TimePoint{} && !Outdated &&
+                Now - Current.SentAt < Settings.ProbeInterval;
+  if (Current.InProgress || Recent)
     return;
   Current.InProgress = true;
   Current.SentAt = Now;
   Metrics.count("probes", "reason", IsUnlisted ? "unlisted" : "suspect");
-  Duration Lag = reportLag(Target);
   Calls.Report(Target, [this, Lag,
                         Id = Target.Id](const Outcome<Instance> &Answer) {
     Probe &Finished = Probes[Id];
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -32,6 +32,12 @@
     Instance Spare = engine("c", "north-d0");
     Spare.Staged = {"small"};
     add(Spare);
+    Settings.Entry = "edge-1";
+    Settings.Zone = ZoneId("north");
+    Settings.PlanPeriod = milliseconds(20);
+    Settings.ProbeInterval = milliseconds(50);
+    Settings.UnlistedWait = milliseconds(200);
+    Settings.ReturnWait = milliseconds(300);
   }
 
   void add(const Instance &Listed) {
@@ -69,15 +75,6 @@
                        const std::function<void(Outcome<Instance>)> &Done) {
       Done(Answer(To));
     };
-    GroupControllerSettings Settings;
-    Settings.Entry = "edge-1";
-    Settings.Zone = ZoneId("north");
-    Settings.PlanPeriod = milliseconds(20);
-    Settings.ProbeInterval = milliseconds(50);
-    Settings.UnlistedWait = milliseconds(200);
-    Settings.ReturnWait = milliseconds(300);
-    if (RefusingWait > Duration::zero())
-      Settings.RefusingWait = RefusingWait;
     GroupController Controller(Timers, Instances, Book, Peers, Metrics, Store,
                                Calls, Settings);
     Begin(Controller);
@@ -156,7 +153,7 @@
   std::vector<GroupOrder> Orders;
   std::function<void(const GroupOrder &)> OnOrder;
   std::function<void(GroupController &)> OnEnd; // after the run
-  Duration RefusingWait{}; // if above zero, in place of the default
+  GroupControllerSettings Settings;
   std::optional<asio::ip::udp::socket> PeerSocket;
   TimerSubscription PeerTimer;
 };
@@ -387,6 +384,40 @@
   EXPECT_EQ(JoinsWhileHeadServes, 0);
 }
 
+// Guards against members of a lost head that stay idle until the next regular
+// probe: reports from before the Leave don't show that they have left.
+TEST_F(GroupControllerCutTest, AsksMemberThatLeftOnceItsReportShowsThat) {
+  Config.Services[PoolService].Engine->ReportLag = milliseconds(200);
+  Settings.ProbeInterval = seconds(3);
+  State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
+  add(State.at(InstanceId("b")));
+  Instances.Instances.erase(InstanceId("a"));
+  Upstream Stalled;
+  Stalled.Key = {InstanceId("a"), 7};
+  updateUpstreams(Book, {Stalled});
+  avoidUpstream(Book, Stalled.Key, AvoidReason::Stalled,
+                Timers.now() + seconds(30)); // so its members are probed
+  TimePoint LeftAt{};
+  OnCarriedOut = [&](const Instance &Changed) {
+    if (LeftAt == TimePoint{} && !Changed.Group)
+      LeftAt = Timers.now();
+  };
+  runController(
+      [&](const Instance &To) -> Outcome<Instance> {
+        if (To.Id == InstanceId("a"))
+          return Error{ResultCode::Timeout, "head"};
+        return State.at(To.Id);
+      },
+      seconds(6), OrderKind::Join,
+      [&](GroupController &Controller) {
+        unlist(Controller, member("a", "small.7", 7, 0, MemberPhase::Open));
+      });
+  ASSERT_TRUE(wasOrdered(OrderKind::Join));
+  ASSERT_NE(LeftAt, TimePoint{});
+  EXPECT_GE(toMilliseconds(Timers.now() - LeftAt), 200);
+  EXPECT_LT(toMilliseconds(Timers.now() - LeftAt), 1'000);
+}
+
 // What the holder learns when it asks for the state of a head that is open and
 // that it can't tell from one that has ended.
 class GroupControllerLostHeadTest
@@ -401,7 +432,7 @@
   State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
   add(State.at(InstanceId("b")));
   Instances.Instances.erase(InstanceId("a"));
-  RefusingWait = milliseconds(200);
+  Settings.RefusingWait = milliseconds(200);
   runController(
       [&](const Instance &To) -> Outcome<Instance> {
         if (To.Id == InstanceId("a"))
