Wait for a head that refuses connections only if it has announced to leave

Its members waited for 11 s, as its process might be finishing requests behind a closed port. An engine that does that has said before that it leaves: in its entry, or with each of its answers, also those to the probes that it gets while it is unlisted and still listens. Fix: the long wait is for heads that have announced to leave; others count as gone as those that are silent do. Test changed: DoesNotReassignMembersWhileHeadRefusesConnections had a head that had announced nothing. It now has one that drains, allows no Leave either, and has a twin for a head that has said so in an answer only (DoesNotReassignMembersWhileHeadFinishesItsRequests). The head that announced nothing is one that crashed (PROTOCOL.md: "An engine that crashes sends nothing"; the users' news: "An engine that leaves says so in all its answers too"): ReassignsMembersWhenHeadEndedUnannounced, which fails before.

--- a/include/samphirehill/Serving/GroupController.h
+++ b/include/samphirehill/Serving/GroupController.h
@@ -71,10 +71,10 @@
   // An unlisted head counts as gone after this if each entry reports that it
   // can't reach it.
   Duration UnlistedWait = milliseconds(1'500);
-  // An unlisted head that refuses connections counts as gone only after this:
-  // its process may still be finishing requests before it ends, which takes 10
-  // s at most. The wait ends early if the instance has restarted at its
-  // address.
+  // An unlisted head that has announced that it leaves and refuses connections
+  // counts as gone only after this: its process may still be finishing requests
+  // before it ends, which takes 10 s at most. The wait ends early if the
+  // instance has restarted at its address.
   Duration RefusingWait = seconds(11);
   // The state that an instance reported counts as confirmed for this long.
   Duration ConfirmedMaxAge = milliseconds(1'000);
@@ -215,6 +215,9 @@
   // Asks the listed instances for their state whose entries contradict what
   // they have reported.
   void checkDisputed();
+  // Returns whether an instance, last listed as Last, has announced that it
+  // leaves, in its entry or in an answer.
+  bool hasAnnouncedLeaving(const Instance &Last) const;
   // Returns whether an unlisted instance may be listed again soon.
   bool mayReturn(const InstanceId &Id, const Unlisted &Missed) const;
   // Returns whether this entry has had reports from Zone for ZoneContactTime.
--- a/lib/Serving/GroupController.cpp
+++ b/lib/Serving/GroupController.cpp
@@ -267,8 +267,9 @@
   if (Found->second.Ended)
     return GoneCause::OtherLife;
   TimePoint Now = Timers.now();
-  Duration Wait =
-      Found->second.Refused ? Settings.RefusingWait : Settings.UnlistedWait;
+  Duration Wait = Found->second.Refused && hasAnnouncedLeaving(Missed.Last)
+                      ? Settings.RefusingWait
+                      : Settings.UnlistedWait;
   if (Now - Missed.Since < Wait ||
       Now - Found->second.SentAt > Settings.ConfirmedMaxAge ||
       !isZoneReachable(Missed.Last.Zone) || hasJustAnswered(Id) ||
@@ -278,6 +279,11 @@
                                : GoneCause::Unreached;
 }
 
+bool GroupController::hasAnnouncedLeaving(const Instance &Last) const {
+  return Last.Draining ||
+         isLeaving(Book.Notices, {Last.Id, Last.BornMilliseconds});
+}
+
 bool GroupController::mayReturn(const InstanceId &Id,
                                 const Unlisted &Missed) const {
   if (Missed.Last.Draining ||
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -118,10 +118,12 @@
         [Kind](const GroupOrder &Order) { return Order.Kind == Kind; });
   }
 
-  // Runs the controller while probes of the unlisted head fail with Failure.
+  // Runs the controller while probes of the unlisted Head fail with Failure.
   // Returns whether the head's member was ordered into another group within
   // Limit.
-  bool memberReassigned(ResultCode Failure, Duration Limit) {
+  bool memberReassigned(ResultCode Failure, Duration Limit,
+                        const Instance &Head = member("a", "small.7", 7, 0,
+                                                      MemberPhase::Open)) {
     OnOrder = [this](const GroupOrder &Order) {
       auto Found = Instances.Instances.find(Order.To);
       if (Order.Kind != OrderKind::Leave || Found == Instances.Instances.end())
@@ -137,9 +139,7 @@
           return To;
         },
         Limit, OrderKind::Join,
-        [](GroupController &Controller) {
-          unlist(Controller, member("a", "small.7", 7, 0, MemberPhase::Open));
-        });
+        [&](GroupController &Controller) { unlist(Controller, Head); });
     return wasOrdered(OrderKind::Join);
   }
 
@@ -217,9 +217,27 @@
 }
 
 // Seen on the bench: a head that leaves stops listening before it has finished
-// its requests.
+// its requests. It has announced that it leaves in its entry, or in an answer.
 TEST_F(GroupControllerTest, DoesNotReassignMembersWhileHeadRefusesConnections) {
-  EXPECT_FALSE(memberReassigned(ResultCode::ConnectFailed, seconds(2)));
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  Head.Draining = true;
+  EXPECT_FALSE(memberReassigned(ResultCode::ConnectFailed, seconds(2), Head));
+  EXPECT_FALSE(wasOrdered(OrderKind::Leave));
+}
+
+TEST_F(GroupControllerTest,
+       DoesNotReassignMembersWhileHeadFinishesItsRequests) {
+  Instance Head = member("a", "small.7", 7, 0, MemberPhase::Open);
+  noteLeaving(Book.Notices, {Head.Id, Head.BornMilliseconds},
+              Timers.nowWithSuspension());
+  EXPECT_FALSE(memberReassigned(ResultCode::ConnectFailed, seconds(2), Head));
+  EXPECT_FALSE(wasOrdered(OrderKind::Leave));
+}
+
+// Guards against members of a head that crashed, which stayed idle for as long
+// as one that leaves may take to finish its requests.
+TEST_F(GroupControllerTest, ReassignsMembersWhenHeadEndedUnannounced) {
+  EXPECT_TRUE(memberReassigned(ResultCode::ConnectFailed, seconds(4)));
 }
 
 // Incident SHORT: engines that had lost only their connection to the platform
@@ -432,7 +450,6 @@
   State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
   add(State.at(InstanceId("b")));
   Instances.Instances.erase(InstanceId("a"));
-  Settings.RefusingWait = milliseconds(200);
   runController(
       [&](const Instance &To) -> Outcome<Instance> {
         if (To.Id == InstanceId("a"))
