Move the repetition and the fences of orders out of GroupPlan

GroupOrders holds the fencing tokens and the times of orders, by a typed key in place of labels put together from names.

--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -14,6 +14,7 @@
 #include "samphirehill/Serving/GroupExchange.h"
 #include "samphirehill/Serving/GroupHeads.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -70,6 +71,16 @@
   bool operator==(const GroupOrder &) const = default;
 };
 
+// Names what an order is about, for its repetition.
+struct OrderKey {
+  OrderKind Kind = OrderKind::Join;
+  InstanceId To;
+  std::string Subject; // the group; for a Stage the model
+
+  auto operator<=>(const OrderKey &) const = default;
+  bool operator==(const OrderKey &) const = default;
+};
+
 struct GroupPlanSettings {
   // Share of a fabric domain's engines that are kept as spares, with weights
   // already loaded: a group that loses a member is then complete again after a
@@ -155,7 +166,7 @@
   std::map<InstanceId, std::int64_t> OrderedFence;
   std::map<std::int64_t, Formation> Forming; // by epoch
   std::map<InstanceId, WeightLoad> Loading;
-  std::map<std::string, TimePoint> OrderedAt; // by label of order and instance
+  std::map<OrderKey, TimePoint> OrderedAt;
   GroupHeads Heads;
   std::map<InstanceId, JoinedModel> LastModel; // of the last group
   std::size_t KnownEngines = 0;
--- a/lib/Serving/GroupPlan.cpp
+++ b/lib/Serving/GroupPlan.cpp
@@ -1,5 +1,6 @@
 #include "samphirehill/Serving/GroupPlan.h"
 
+#include "samphirehill/Serving/GroupOrders.h"
 #include "samphirehill/Serving/GroupQuota.h"
 #include "samphirehill/Serving/GroupWeights.h"
 
@@ -19,9 +20,6 @@
   std::map<int, const PlannedInstance *> ByRank;
 };
 
-// An order that got no answer may take effect up to this much later.
-constexpr Duration OrderMaxDelay = seconds(30);
-
 using GroupKey = std::pair<std::string, std::int64_t>;
 
 // One run of the planning.
@@ -136,9 +134,7 @@
                   [&](const auto &Entry) { return !findEngine(Entry.first); });
     std::erase_if(State.LoadStarts,
                   [&](TimePoint At) { return Now - At >= seconds(1); });
-    std::erase_if(State.OrderedAt, [&](const auto &Entry) {
-      return Now - Entry.second > OrderMaxDelay;
-    });
+    eraseExpiredOrders(State, Now);
   }
 
   void eraseHeadTimes() {
@@ -149,35 +145,12 @@
                             State.Settings.HeadReturnWait, Now);
   }
 
-  // Adds Order to the result, with its fencing token.
-  void addOrder(GroupOrder Order) {
-    std::int64_t &Highest = State.OrderedFence[Order.To];
-    if (Order.Kind == OrderKind::Leave)
-      ++State.Fence;
-    else
-      Highest = State.Fence;
-    Order.Fence = State.Fence;
-    Orders.push_back(std::move(Order));
-  }
-
-  // Returns whether Engine is known to refuse all orders from before its last
-  // Leave.
-  bool isFenced(const PlannedInstance &Engine) const {
-    auto Found = State.OrderedFence.find(Engine.Listed.Id);
-    std::int64_t Ordered =
-        Found == State.OrderedFence.end() ? 0 : Found->second;
-    return Engine.AcceptedFence >= std::max(State.FirstEpoch, Ordered + 1);
-  }
-
-  // Returns whether the order that Label names may be given now, as it was not
-  // given within OrderRetryDelay; if so, records it as given.
-  bool recordIfDue(const std::string &Label) {
-    auto Found = State.OrderedAt.find(Label);
-    if (Found != State.OrderedAt.end() &&
-        Now - Found->second < State.Settings.OrderRetryDelay)
-      return false;
-    State.OrderedAt[Label] = Now;
-    return true;
+  // Adds Order to the result if it may be given now. Returns whether it was.
+  bool orderIfDue(GroupOrder Order) {
+    bool Due = giveIfDue(State, Order, Now);
+    if (Due)
+      Orders.push_back(std::move(Order));
+    return Due;
   }
 
   // Builds Groups from the engines' reports, and decides for each group whether
@@ -295,8 +268,8 @@
     auto Recorded = State.Heads.HeadOf.find(Key.second);
     if (Recorded != State.Heads.HeadOf.end()) {
       const PlannedInstance *LastHead = findEngine(Recorded->second);
-      bool Left =
-          LastHead && LastHead->LeftEpoch == Key.second && isFenced(*LastHead);
+      bool Left = LastHead && LastHead->LeftEpoch == Key.second &&
+                  isFenced(State, *LastHead);
       if (Left)
         return false;
       if (!LastHead || LastHead->State == Liveness::Gone)
@@ -314,14 +287,13 @@
   // is known to have accepted a Leave.
   bool mayServeAgain(const GroupKey &Key, const ReportedGroup &Group,
                      const PlannedInstance &LastHead) {
-    if (isFenced(LastHead))
+    if (isFenced(State, LastHead))
       return false;
     TimePoint Since =
         State.Heads.HeadlessSince.try_emplace(Key.second, Now).first->second;
     if (Now - Since >= State.Settings.HeadlessWait)
       return false;
-    if (recordIfDue("leave " + LastHead.Listed.Id.str() + Key.first))
-      addOrder({OrderKind::Leave, LastHead.Listed.Id, Key.first, Key.second,
+    orderIfDue({OrderKind::Leave, LastHead.Listed.Id, Key.first, Key.second,
                 Group.Model});
     return true;
   }
@@ -358,11 +330,13 @@
     if (Head.Listed.Group->Phase == MemberPhase::Broken)
       return false;
     return isServing(Head) || Head.Listed.Group->Epoch < State.FirstEpoch ||
-           State.OrderedAt.contains(openLabel(Head));
+           mayTakeEffect(State, keyOf(openOrder(Head)));
   }
 
-  static std::string openLabel(const PlannedInstance &Head) {
-    return "open " + Head.Listed.Id.str() + " " + Head.Listed.Group->Group;
+  static GroupOrder openOrder(const PlannedInstance &Head) {
+    const Membership &Place = *Head.Listed.Group;
+    return {OrderKind::Open, Head.Listed.Id, Place.Group, Place.Epoch,
+            modelOfGroup(Place.Group)};
   }
 
   static bool isServing(const PlannedInstance &Head) {
@@ -398,9 +372,8 @@
     bool Lapsed =
         std::any_of(Group.ByRank.begin(), Group.ByRank.end(),
                     [](const auto &Member) { return Member.second->Lapsed; });
-    if (AllReady && !Lapsed && recordIfDue(openLabel(Head)))
-      addOrder({OrderKind::Open, Head.Listed.Id, Key.first, Key.second,
-                Group.Model});
+    if (AllReady && !Lapsed)
+      orderIfDue(openOrder(Head));
     return true;
   }
 
@@ -441,16 +414,14 @@
       return;
     if (Cut)
       return release(Head);
-    if (recordIfDue("close " + Head.Listed.Id.str() + Key.first))
-      addOrder({OrderKind::Close, Head.Listed.Id, Key.first, Key.second,
-                Group.Model});
+    orderIfDue(
+        {OrderKind::Close, Head.Listed.Id, Key.first, Key.second, Group.Model});
   }
 
   // Orders the engine to leave its group.
   void release(const PlannedInstance &Engine) {
     const Membership &Place = *Engine.Listed.Group;
-    if (recordIfDue("leave " + Engine.Listed.Id.str() + Place.Group))
-      addOrder({OrderKind::Leave, Engine.Listed.Id, Place.Group, Place.Epoch,
+    orderIfDue({OrderKind::Leave, Engine.Listed.Id, Place.Group, Place.Epoch,
                 modelOfGroup(Place.Group)});
   }
 
@@ -481,10 +452,11 @@
           Releasing.push_back(Each);
         continue;
       }
-      if (mayReportJoin(joinLabel(Id, Forming)))
+      GroupOrder Join = joinOrder(Forming, Id);
+      if (shouldShowEffect(State, keyOf(Join), Now))
         requestReport(*Each);
-      if (mayJoin(*Each) && recordIfDue(joinLabel(Id, Forming)))
-        addOrder(joinOrder(Forming, Id));
+      if (mayJoin(*Each))
+        orderIfDue(std::move(Join));
     }
     bool Counted = Groups.contains({Forming.Group, Forming.Epoch}) &&
                    allMembersIn(Forming);
@@ -495,17 +467,6 @@
     }
   }
 
-  // Returns whether the engine's report should show by now that it has joined.
-  bool mayReportJoin(const std::string &Label) const {
-    auto Found = State.OrderedAt.find(Label);
-    return Found == State.OrderedAt.end() ||
-           Now - Found->second >= State.Settings.JoinReportDelay;
-  }
-
-  static std::string joinLabel(const InstanceId &Id, const Formation &Forming) {
-    return "join " + Id.str() + Forming.Group;
-  }
-
   bool allMembersIn(const Formation &Forming) const {
     return std::all_of(Forming.Members.begin(), Forming.Members.end(),
                        [&](const InstanceId &Id) {
@@ -627,8 +588,7 @@
     }
     NewGroup.GiveUpAt = Now + Expected + State.Settings.FormationMargin;
     for (const InstanceId &Id : NewGroup.Members) {
-      recordIfDue(joinLabel(Id, NewGroup));
-      addOrder(joinOrder(NewGroup, Id));
+      orderIfDue(joinOrder(NewGroup, Id));
       Assigned.insert(Id);
     }
     for (auto &[Name, Each] : Domains)
@@ -655,6 +615,11 @@
     State.LoadStarts.push_back(Now);
   }
 
+  static GroupOrder stageOrder(const PlannedInstance &Engine,
+                               const ModelShape &Model) {
+    return {OrderKind::Stage, Engine.Listed.Id, {}, 0, Model.Name};
+  }
+
   // Orders free engines to load weights that the domain has on too few engines
   // for its groups and spares.
   void stageWeights(EngineDomain &Domain) {
@@ -663,14 +628,12 @@
         continue;
       const ModelShape *Model =
           modelToLoad(State, Domains, Service, *Each, Now);
-      if (!Model ||
-          !recordIfDue("stage " + Each->Listed.Id.str() + Model->Name))
+      if (!Model || !orderIfDue(stageOrder(*Each, *Model)))
         continue;
       for (const std::string &Old : Each->Listed.Staged)
         --Domain.Models[Old].Staged;
       ++Domain.Models[Model->Name].Staged;
       recordLoad(Each->Listed.Id, *Model);
-      addOrder({OrderKind::Stage, Each->Listed.Id, {}, 0, Model->Name});
     }
   }
 
@@ -682,11 +645,9 @@
     chooseExchange(State.Exchanges, View, State.Settings.Demand, Now);
     for (const auto &[Engine, Model] :
          weightsToPrepare(State.Exchanges, View, State.Settings.Demand)) {
-      if (isLoading(*Engine) || !loadsAllowed(1) ||
-          !recordIfDue("stage " + Engine->Listed.Id.str() + Model->Name))
-        continue;
-      recordLoad(Engine->Listed.Id, *Model);
-      addOrder({OrderKind::Stage, Engine->Listed.Id, {}, 0, Model->Name});
+      if (!isLoading(*Engine) && loadsAllowed(1) &&
+          orderIfDue(stageOrder(*Engine, *Model)))
+        recordLoad(Engine->Listed.Id, *Model);
     }
   }
 
