--- a/include/samphirehill/Serving/GroupOrders.h
+++ b/include/samphirehill/Serving/GroupOrders.h
@@ -17,8 +17,8 @@
 // Returns whether Order has been given and may still take effect.
 bool mayTakeEffect(const GroupPlanState &State, const OrderKey &Order);
 
-// Returns whether Order was given so long ago that the engine's report should
-// show its effect, or not at all.
+// Returns whether the engine's report should show the effect of Order, as it
+// was given JoinReportDelay ago or earlier, or isn't known to have been given.
 bool shouldShowEffect(const GroupPlanState &State, const OrderKey &Order,
                       TimePoint Now);
 
--- a/include/samphirehill/Serving/GroupPlan.h
+++ b/include/samphirehill/Serving/GroupPlan.h
@@ -98,15 +98,15 @@
   // until no engine has registered for this long, as the groups that a domain
   // should have depend on its size.
   Duration SettleTime = milliseconds(600);
-  // Members whose head is unknown are not reassigned for this long, and for up
-  // to twice as long until all engines of their domain have reported their
-  // state. It exceeds the time after which a live head is listed again after an
-  // outage (2 s), and after which most late orders have taken effect.
+  // Members whose head is unknown are not ordered to leave for this long, and
+  // for up to twice as long until all engines of their domain have reported
+  // their state. It exceeds the time after which a live head is listed again
+  // after an outage (2 s), and after which most late orders have taken effect.
   Duration HeadlessWait = seconds(8);
   // A group of which no engine was known for longer than AbsenceGap and that
   // has come back may have been cut off while it went on serving. Its members
-  // are not reassigned for HeadReturnWait: the list shows engines again within
-  // 2 s of each other.
+  // are not ordered to leave for HeadReturnWait: the list shows engines again
+  // within 2 s of each other.
   Duration AbsenceGap = seconds(1);
   Duration HeadReturnWait = seconds(3);
   // An engine may replace its weights once its domain has had more engines with
