--- a/bench/heads/play.py
+++ b/bench/heads/play.py
@@ -176,14 +176,15 @@
 
 async def cut_while_holder_restarts(world, head):
     world.cut(head)
-    await asyncio.sleep(4.2)
-    world.restart_holder()
-    await asyncio.sleep(10)
-    world.reconnect(head)
+    await restart_holder_and_reconnect(world, head)
 
 
 async def store_cut_while_holder_restarts(world, head):
     world.cut(head, entries=False)
+    await restart_holder_and_reconnect(world, head)
+
+
+async def restart_holder_and_reconnect(world, head):
     await asyncio.sleep(4.2)
     world.restart_holder()
     await asyncio.sleep(12)
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -287,4 +287,18 @@
   return std::nullopt;
 }
 
+void run(GroupWorld &World, GroupPlanState &State, int Ticks, bool FirstStart) {
+  for (int Done = 0; Done < Ticks; ++Done) {
+    World.plan(State, FirstStart);
+    World.advance(Tick);
+  }
+}
+
+std::ptrdiff_t countOrders(const std::vector<GroupOrder> &Orders,
+                           OrderKind Kind) {
+  return std::count_if(
+      Orders.begin(), Orders.end(),
+      [Kind](const GroupOrder &Order) { return Order.Kind == Kind; });
+}
+
 } // namespace samphirehill::serving
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -6,6 +6,7 @@
 
 #include "samphirehill/Serving/GroupPlan.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +15,9 @@
 
 namespace samphirehill::serving {
 
+// Time between two planning runs.
+inline constexpr Duration Tick = milliseconds(200);
+
 class GroupWorld {
 public:
   GroupWorld(int Domains, int EnginesPerDomain);
@@ -98,6 +102,13 @@
   Duration OrderDelay{};
 };
 
+// Runs the planning and advances the time by a tick, Ticks times.
+void run(GroupWorld &World, GroupPlanState &State, int Ticks,
+         bool FirstStart = false);
+
+std::ptrdiff_t countOrders(const std::vector<GroupOrder> &Orders,
+                           OrderKind Kind);
+
 } // namespace samphirehill::serving
 
 #endif // SAMPHIREHILL_TEST_SERVING_GROUPWORLD_H
