Let tests of members that wait forbid the Leave too, and share their set-up

Since a Join needs a Leave first, five older tests whose members never leave could no longer fail by a Join to them: WaitsBeforeReassigningMembersWhenHeadIsUnknown and DoesNotReassignMembersWhileUnclearHeadMayServe (the plan is called with fixed members), and, by the wait for the report, less easily FencesFormerHeadBeforeReassigningMembers, KeepsMembersWhileAnEntryUsesTheHead and KeepsMembersWhileAnEntryHasNotDeniedTheHead. They now forbid the order to leave as well; all assertions before stay.

The set-ups that two tests shared line by line are functions: formingState, leadsOpenGroup, loseHead and runWithoutHead, and in bench/heads/play.py restart_entries_in_cut and stay_away.

--- a/bench/heads/play.py
+++ b/bench/heads/play.py
@@ -159,18 +159,18 @@
 
 
 async def cut_while_entries_restart(world, head):
-    world.cut(head)
-    await asyncio.sleep(2)
-    await world.restart_entries(first_start=False)
-    await asyncio.sleep(12)
-    world.reconnect(head)
+    await restart_entries_in_cut(world, head, 2, 12, first_start=False)
 
 
 async def cut_while_entries_start_first(world, head):
+    await restart_entries_in_cut(world, head, 5, 8, first_start=True)
+
+
+async def restart_entries_in_cut(world, head, before_s, after_s, first_start):
     world.cut(head)
-    await asyncio.sleep(5)
-    await world.restart_entries(first_start=True)
-    await asyncio.sleep(8)
+    await asyncio.sleep(before_s)
+    await world.restart_entries(first_start)
+    await asyncio.sleep(after_s)
     world.reconnect(head)
 
 
@@ -192,7 +192,8 @@
 
 
 async def orders_late(world, head):
-    """The member carries out orders 3 s late and answers none meanwhile."""
+    """The member answers its next order not at all and carries it out 3 s
+    late."""
     member = world.member(head)
     carry_out = member.carry_out
 
@@ -209,10 +210,12 @@
     await cut(world, head)
 
 
+async def stay_away():
+    """Takes the place of an engine's restart."""
+
+
 async def dead(world, head):
-    async def stay():
-        pass
-    head.restart = stay
+    head.restart = stay_away
     head.crash()
     await asyncio.sleep(14)
 
@@ -236,9 +239,7 @@
 
 async def drains(world, head):
     """The head drains, stops listening and ends."""
-    async def stay():
-        pass
-    head.restart = stay
+    head.restart = stay_away
     head.draining = True
     head.beat()
     await asyncio.sleep(2.5)
--- a/test/Serving/GroupControllerTest.cpp
+++ b/test/Serving/GroupControllerTest.cpp
@@ -170,12 +170,14 @@
   UsesHead.Loads[{InstanceId("a"), 7}] = {6, 0, 0, 1};
   addPeer(UsesHead);
   EXPECT_FALSE(memberReassigned(ResultCode::Timeout, milliseconds(1'500)));
+  EXPECT_FALSE(wasOrdered(OrderKind::Leave));
 }
 
 // An entry that has no request at the head may send one at any time.
 TEST_F(GroupControllerTest, KeepsMembersWhileAnEntryHasNotDeniedTheHead) {
   addPeer({});
   EXPECT_FALSE(memberReassigned(ResultCode::Timeout, milliseconds(1'500)));
+  EXPECT_FALSE(wasOrdered(OrderKind::Leave));
 }
 
 TEST_F(GroupControllerTest, ReassignsMembersWhenAllEntriesDenyTheHead) {
@@ -338,6 +340,31 @@
       add(To);
   }
 
+  // Makes a, which isn't listed, the open head of a group with b.
+  void loseHead() {
+    Members["small.7"] = {InstanceId("a"), InstanceId("b")};
+    State.at(InstanceId("a")) = member("a", "small.7", 7, 0, MemberPhase::Open);
+    State.at(InstanceId("b")) =
+        member("b", "small.7", 7, 1, MemberPhase::Ready);
+    add(State.at(InstanceId("b")));
+    Instances.Instances.erase(InstanceId("a"));
+  }
+
+  // Runs the controller after loseHead, until it has sent an order of kind
+  // Last. Probes of the head fail with Failure.
+  void runWithoutHead(ResultCode Failure, OrderKind Last) {
+    runController(
+        [this, Failure](const Instance &To) -> Outcome<Instance> {
+          if (To.Id == InstanceId("a"))
+            return Error{Failure, "head"};
+          return State.at(To.Id);
+        },
+        seconds(6), Last,
+        [this](GroupController &Controller) {
+          unlist(Controller, State.at(InstanceId("a")));
+        });
+  }
+
   // Returns whether Id is a member of another group than Group whose head is
   // open.
   bool servesWith(const InstanceId &Id, const std::string &Group) const {
@@ -407,9 +434,7 @@
 TEST_F(GroupControllerCutTest, AsksMemberThatLeftOnceItsReportShowsThat) {
   Config.Services[PoolService].Engine->ReportLag = milliseconds(200);
   Settings.ProbeInterval = seconds(3);
-  State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
-  add(State.at(InstanceId("b")));
-  Instances.Instances.erase(InstanceId("a"));
+  loseHead();
   Upstream Stalled;
   Stalled.Key = {InstanceId("a"), 7};
   updateUpstreams(Book, {Stalled});
@@ -420,16 +445,7 @@
     if (LeftAt == TimePoint{} && !Changed.Group)
       LeftAt = Timers.now();
   };
-  runController(
-      [&](const Instance &To) -> Outcome<Instance> {
-        if (To.Id == InstanceId("a"))
-          return Error{ResultCode::Timeout, "head"};
-        return State.at(To.Id);
-      },
-      seconds(6), OrderKind::Join,
-      [&](GroupController &Controller) {
-        unlist(Controller, member("a", "small.7", 7, 0, MemberPhase::Open));
-      });
+  runWithoutHead(ResultCode::Timeout, OrderKind::Join);
   ASSERT_TRUE(wasOrdered(OrderKind::Join));
   ASSERT_NE(LeftAt, TimePoint{});
   EXPECT_GE(toMilliseconds(Timers.now() - LeftAt), 200);
@@ -445,21 +461,8 @@
 // Guards against a member that joins another group while the head of its group
 // is open but can't be reached, or seems to have ended (TWO).
 TEST_P(GroupControllerLostHeadTest, MemberLeavesBeforeItJoinsAnotherGroup) {
-  Members["small.7"] = {InstanceId("a"), InstanceId("b")};
-  State.at(InstanceId("a")) = member("a", "small.7", 7, 0, MemberPhase::Open);
-  State.at(InstanceId("b")) = member("b", "small.7", 7, 1, MemberPhase::Ready);
-  add(State.at(InstanceId("b")));
-  Instances.Instances.erase(InstanceId("a"));
-  runController(
-      [&](const Instance &To) -> Outcome<Instance> {
-        if (To.Id == InstanceId("a"))
-          return Error{GetParam(), "head"};
-        return State.at(To.Id);
-      },
-      seconds(5), OrderKind::Open,
-      [&](GroupController &Controller) {
-        unlist(Controller, State.at(InstanceId("a")));
-      });
+  loseHead();
+  runWithoutHead(GetParam(), OrderKind::Open);
   EXPECT_EQ(State.at(InstanceId("a")).Group->Phase, MemberPhase::Open);
   EXPECT_EQ(JoinsWhileHeadServes, 0);
   EXPECT_TRUE(wasOrdered(OrderKind::Open)); // of the member and the spare
--- a/test/Serving/GroupPlanReleaseTest.cpp
+++ b/test/Serving/GroupPlanReleaseTest.cpp
@@ -66,13 +66,7 @@
 // Guards against a Join order that is repeated to an engine which late orders
 // of an earlier holder have brought into another group (TWO).
 TEST(GroupPlanTest, RepeatsNoJoinToAnEngineInAnotherGroup) {
-  GroupPlanState State;
-  State.NextEpoch = State.FirstEpoch = 100'000;
-  State.Forming[100'001] = {"small.100001",
-                            100'001,
-                            "small",
-                            {InstanceId("a"), InstanceId("b")},
-                            TimePoint{seconds(20)}};
+  GroupPlanState State = formingState();
   std::vector<PlannedInstance> Engines{
       {engine("a", "north-d0")},
       {member("b", "small.7", 7, 1, MemberPhase::Ready)}};
--- a/test/Serving/GroupPlanTest.cpp
+++ b/test/Serving/GroupPlanTest.cpp
@@ -225,9 +225,10 @@
   Engines[1].Confirmed = Engines[2].Confirmed = true;
   TimePoint Now{seconds(10)};
   for (int Round = 0; Round < 50; ++Round, Now += Tick) {
-    for (const GroupOrder &Order :
-         planGroups(State, Engines, OneModel, false, Now))
-      EXPECT_NE(Order.Kind, OrderKind::Join);
+    std::vector<GroupOrder> Orders =
+        planGroups(State, Engines, OneModel, false, Now);
+    EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+    EXPECT_EQ(countOrders(Orders, OrderKind::Leave), 0);
   }
   Engines[0].State = Liveness::Gone;
   Engines[0].Listed.Draining = true;
@@ -254,9 +255,10 @@
   Engines[0].Confirmed = Engines[1].Confirmed = true;
   TimePoint Now{seconds(10)};
   for (int Round = 0; Round < 20; ++Round, Now += Tick) {
-    for (const GroupOrder &Order :
-         planGroups(State, Engines, OneModel, false, Now))
-      EXPECT_NE(Order.Kind, OrderKind::Join);
+    std::vector<GroupOrder> Orders =
+        planGroups(State, Engines, OneModel, false, Now);
+    EXPECT_EQ(countOrders(Orders, OrderKind::Join), 0);
+    EXPECT_EQ(countOrders(Orders, OrderKind::Leave), 0);
   }
 }
 
@@ -284,8 +286,10 @@
   EXPECT_EQ(Orders[0].Kind, OrderKind::Leave);
   EXPECT_EQ(Orders[0].To, InstanceId("a"));
   EXPECT_GT(Orders[0].Fence, State.FirstEpoch);
-  for (const GroupOrder &Each : Orders)
+  for (const GroupOrder &Each : Orders) {
     EXPECT_FALSE(Each.Kind == OrderKind::Join && Each.To == InstanceId("b"));
+    EXPECT_FALSE(Each.Kind == OrderKind::Leave && Each.To == InstanceId("b"));
+  }
   Engines[0].AcceptedFence = Orders[0].Fence;
   Now += Tick;
   Orders = planGroups(State, Engines, OneModel, false, Now);
@@ -306,13 +310,7 @@
 // Late Join orders of an earlier holder complete a group whose members have
 // since been ordered into another group.
 TEST(GroupPlanTest, DoesNotOpenGroupWhenMembersWereOrderedIntoAnother) {
-  GroupPlanState State;
-  State.NextEpoch = State.FirstEpoch = 100'000;
-  State.Forming[100'001] = {"small.100001",
-                            100'001,
-                            "small",
-                            {InstanceId("a"), InstanceId("b")},
-                            TimePoint{seconds(20)}};
+  GroupPlanState State = formingState();
   Instance Head = member("a", "small.7", 7, 0, MemberPhase::Ready);
   Instance Follower = member("b", "small.7", 7, 1, MemberPhase::Ready);
   for (const GroupOrder &Each :
--- a/test/Serving/GroupWorld.cpp
+++ b/test/Serving/GroupWorld.cpp
@@ -226,16 +226,18 @@
   Engines.at(Id).Actual.Draining = true;
 }
 
+bool GroupWorld::leadsOpenGroup(const Engine &Each, const std::string &Model) {
+  const std::optional<Membership> &Member = Each.Actual.Group;
+  return !isUnseen(Each) && Member && Member->Rank == 0 &&
+         Member->Phase == MemberPhase::Open &&
+         modelOfGroup(Member->Group) == Model;
+}
+
 int GroupWorld::openGroups(const std::string &Model) const {
-  int Count = 0;
-  for (const auto &[Id, Each] : Engines) {
-    const std::optional<Membership> &Member = Each.Actual.Group;
-    if (!isUnseen(Each) && Member && Member->Rank == 0 &&
-        Member->Phase == MemberPhase::Open &&
-        modelOfGroup(Member->Group) == Model)
-      ++Count;
-  }
-  return Count;
+  return static_cast<int>(
+      std::count_if(Engines.begin(), Engines.end(), [&](const auto &Entry) {
+        return leadsOpenGroup(Entry.second, Model);
+      }));
 }
 
 std::size_t GroupWorld::loadsSince(TimePoint Since) const {
@@ -267,10 +269,7 @@
 std::optional<InstanceId>
 GroupWorld::someOpenHead(const std::string &Model) const {
   for (const auto &[Id, Each] : Engines) {
-    const std::optional<Membership> &Member = Each.Actual.Group;
-    if (!Each.Dead && Member && Member->Rank == 0 &&
-        Member->Phase == MemberPhase::Open &&
-        modelOfGroup(Member->Group) == Model)
+    if (leadsOpenGroup(Each, Model))
       return Id;
   }
   return std::nullopt;
@@ -294,6 +293,17 @@
   }
 }
 
+GroupPlanState formingState() {
+  GroupPlanState State;
+  State.NextEpoch = State.FirstEpoch = 100'000;
+  State.Forming[100'001] = {"small.100001",
+                            100'001,
+                            "small",
+                            {InstanceId("a"), InstanceId("b")},
+                            TimePoint{seconds(20)}};
+  return State;
+}
+
 std::ptrdiff_t countOrders(const std::vector<GroupOrder> &Orders,
                            OrderKind Kind) {
   return std::count_if(
--- a/test/Serving/GroupWorld.h
+++ b/test/Serving/GroupWorld.h
@@ -53,7 +53,7 @@
   std::vector<InstanceId> alive() const;
   // Returns a member of any group, selected by Which, or nothing.
   std::optional<InstanceId> someMember(std::size_t Which) const;
-  // Returns the head of an open group of Model, or nothing.
+  // Returns the head of an open group of Model that isn't cut off, or nothing.
   std::optional<InstanceId> someOpenHead(const std::string &Model) const;
   // Returns a member of a group of Model that isn't its head, or nothing.
   std::optional<InstanceId> someFollower(const std::string &Model) const;
@@ -90,6 +90,8 @@
   // Returns whether the engine accepted the order.
   bool execute(const GroupOrder &Order);
   static bool isUnseen(const Engine &Each) { return Each.Dead || Each.CutOff; }
+  // Returns whether the engine can be seen to lead an open group of Model.
+  static bool leadsOpenGroup(const Engine &Each, const std::string &Model);
   void noteAnswered(const GroupOrder &Order);
   void join(Engine &To, const GroupOrder &Order);
   const Engine *headOf(const Membership &Place) const;
@@ -106,6 +108,10 @@
 void run(GroupWorld &World, GroupPlanState &State, int Ticks,
          bool FirstStart = false);
 
+// Returns the state of a holder that is forming the group small.100001 of the
+// engines a and b, until second 20.
+GroupPlanState formingState();
+
 std::ptrdiff_t countOrders(const std::vector<GroupOrder> &Orders,
                            OrderKind Kind);
 
